--- a/stoatlift/benchlink.py
+++ b/brackenpulley/adapter.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from . import interface as i
-from .brain import Gateway
+from .policy import interface as i
+from .policy.brain import Gateway
 
 STATUS = {"served": "ok", "server_error": "error", "turned_away": "full", "no_answer": "timeout",
           "no_connection": "connect_failed", "connection_lost": "reset", "called_off": "cancelled",
@@ -126,7 +126,7 @@
                 raise ValueError("not a batch")
             reply = link.batch(message)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            print(f"benchlink: {type(error).__name__}: {error}: {line.strip()[:200]!r}", file=sys.stderr)
+            print(f"adapter: {type(error).__name__}: {error}: {line.strip()[:200]!r}", file=sys.stderr)
             return 1
         sink.write(json.dumps(reply, separators=(",", ":")) + "\n")
         sink.flush()
--- /dev/null
+++ b/brackenpulley/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The decision module: brain, its interface and its records."""
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -1,7 +1,7 @@
 """The module inside a program of one's own: one request, one server, no wire."""
 
-from stoatlift.brain import Gateway
-from stoatlift.interface import (
+from brackenpulley.policy.brain import Gateway
+from brackenpulley.policy.interface import (
     ClassSpec,
     Outcome,
     PlanSpec,
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -27,7 +27,7 @@
 
 def play(batches: list[Any], seed: str = "0") -> tuple[list[Any], int, str]:
     text = "".join(b if isinstance(b, str) else json.dumps(b) + "\n" for b in batches)
-    done = subprocess.run([sys.executable, "-m", "stoatlift.benchlink"], input=text, capture_output=True, text=True,
+    done = subprocess.run([sys.executable, "-m", "brackenpulley.adapter"], input=text, capture_output=True, text=True,
                           env={**os.environ, "PYTHONHASHSEED": seed}, timeout=60)
     return [json.loads(x) for x in done.stdout.splitlines()], done.returncode, done.stderr
 
@@ -57,7 +57,7 @@
 def test_a_line_that_is_no_batch_ends_it_plainly() -> None:
     for bad in ("nonsense\n", "[]\n", '{"in": 3}\n'):
         replies, code, errors = play([{"AtTime": 1.0, "in": []}, bad])
-        assert code == 1 and len(replies) == 1 and errors.startswith("benchlink: ") and "Traceback" not in errors
+        assert code == 1 and len(replies) == 1 and errors.startswith("adapter: ") and "Traceback" not in errors
 
 
 def test_missing_setting_is_named() -> None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from stoatlift.brain import RATE_MAX, RATE_MIN, Loop
-from stoatlift.interface import ClassSpec
+from brackenpulley.policy.brain import RATE_MAX, RATE_MIN, Loop
+from brackenpulley.policy.interface import ClassSpec
 
 
 def loop(rate: float = 50.0, aim: float = 1.0) -> Loop:
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import settings as hsettings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from stoatlift.interface import (
+from brackenpulley.policy.interface import (
     Cancel,
     Counted,
     Fail,
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,7 +1,7 @@
 """The customer quota: fill, readings, none, a counter that returns empty, late answers."""
 
-from stoatlift.brain import Gateway
-from stoatlift.interface import (
+from brackenpulley.policy.brain import Gateway
+from brackenpulley.policy.interface import (
     Count,
     Counted,
     Outcome,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from stoatlift.brain import Gateway
-from stoatlift.interface import (
+from brackenpulley.policy.brain import Gateway
+from brackenpulley.policy.interface import (
     Cancel,
     Fail,
     Gone,
--- a/tests/util.py
+++ b/tests/util.py
@@ -4,8 +4,17 @@
 
 from typing import Any
 
-from stoatlift.brain import Gateway
-from stoatlift.interface import Action, ClassSpec, Event, PlanSpec, Request, ServerEntry, ServerList, Settings
+from brackenpulley.policy.brain import Gateway
+from brackenpulley.policy.interface import (
+    Action,
+    ClassSpec,
+    Event,
+    PlanSpec,
+    Request,
+    ServerEntry,
+    ServerList,
+    Settings,
+)
 
 CLASSES = [
     ClassSpec("check", aim=2.0, deadline=5.0, worth=1.0, effect="safe"),
