--- /dev/null
+++ b/brackenpulley/cli.py
@@ -0,0 +1,52 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import os
+import sys
+from importlib import metadata
+from typing import Annotated
+
+import typer
+
+from .config import Config, ConfigError, load
+
+VERSION = "0.2.0"
+app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+                  help="An ingress that holds customers to their quotas before a shared fleet of sim servers.")
+Path = Annotated[str, typer.Option("--config", help="The configuration; else the file that BALANCER_CONFIG names.")]
+
+
+def _load(path: str) -> Config:
+    path = path or os.environ.get("BALANCER_CONFIG", "")
+    try:
+        if not path:
+            raise ConfigError("BALANCER_CONFIG: not set, and no --config given")
+        return load(path)
+    except ConfigError as error:
+        print(f"brackenpulley: {error}", file=sys.stderr)
+        raise typer.Exit(2) from None
+
+
+@app.command()
+def serve(config: Path = "") -> None:
+    """Serve in the foreground until SIGTERM."""
+    told = _load(config)
+    from .serve import serve as run
+    run(told)
+
+
+@app.command("check-config")
+def check_config(config: Path = "") -> None:
+    """Read the configuration and say whether it can be used."""
+    told = _load(config)
+    print(f"{told.name}: {len(told.settings.classes)} classes, {len(told.settings.plans)} plans, "
+          f"listens at {told.listen[0]}:{told.listen[1]}")
+
+
+@app.command()
+def version() -> None:
+    """Print the version, and those of the libraries it runs on."""
+    print(f"brackenpulley {VERSION}")
+    for name in ("httptools", "structlog", "typer"):
+        print(f"{name} {metadata.version(name)}")
--- /dev/null
+++ b/brackenpulley/config.py
@@ -0,0 +1,94 @@
+"""The configuration of one real ingress. What is wrong with it is told in one line that names the field."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .policy import interface as i
+from .settings import JSON, Transport, settings, transport
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """The message starts with the field's name."""
+
+
+def address(text: Any, name: str) -> Address:
+    """'127.0.0.4:8000' or '[::1]:8000'; names are not looked up."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 <= int(port) <= 65535:
+            raise ValueError
+    except ValueError:
+        raise ConfigError(f"{name}: {text!r} is no address:port") from None
+    return host.strip("[]"), int(port)
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address | None
+    counter: Address | None
+    seed: int
+    sockets: int
+    known: JSON
+    settings: i.Settings
+    transport: Transport
+
+
+def _object(value: Any, name: str) -> JSON:
+    if not isinstance(value, dict):
+        raise ConfigError(f"{name}: not an object")
+    return value
+
+
+def decode(raw: Any, env: Mapping[str, str]) -> Config:
+    raw = _object(raw, "configuration")
+
+    def told(variable: str, key: str) -> Any:
+        value = env.get(variable) or raw.get(key)
+        if not value:
+            raise ConfigError(f"{key}: missing")
+        return value
+
+    given, limits = _object(raw.get("settings"), "settings"), _object(raw.get("limits", {}), "limits")
+    try:
+        rules, conns = settings(given), transport(given)
+    except i.SettingsError as error:
+        raise ConfigError(f"settings.{error}") from None
+    except (TypeError, ValueError, AttributeError, KeyError) as error:
+        raise ConfigError(f"settings: {type(error).__name__}: {error}") from None
+    sockets = limits.get("sockets", 1024)
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
+        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number from 64")
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: {raw['seed']!r} is not hexadecimal") from None
+    if rules.counter and not raw.get("counter"):
+        raise ConfigError("counter: missing, and the settings allow counting")
+    xds = bool(raw.get("xds"))  # the operator's file names a source of its own
+    return Config(
+        name=str(told("BALANCER_NAME", "name")), listen=address(told("BALANCER_LISTEN", "listen"), "listen"),
+        discovery=None if xds else address(told("BALANCER_DISCOVERY", "discovery"), "discovery"),
+        counter=address(raw["counter"], "counter") if raw.get("counter") else None,
+        seed=seed, sockets=sockets, known=_object(raw.get("known", {}), "known"), settings=rules, transport=conns)
+
+
+def load(path: str, env: Mapping[str, str] | None = None) -> Config:
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"BALANCER_CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"BALANCER_CONFIG: {path}: not JSON: {error}") from None
+    return decode(raw, os.environ if env is None else env)
--- /dev/null
+++ b/brackenpulley/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: knows no socket, no HTTP and no gRPC."""
--- /dev/null
+++ b/brackenpulley/core/exchange.py
@@ -0,0 +1,99 @@
+"""The only place where the north side and the south side meet: one message, its relays, its one final answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from .message import Message
+
+
+@dataclass(slots=True)
+class Answer:
+    """What the client is told. `kind`: served, back-off, failed or denied."""
+
+    kind: str
+    status: int
+    after: float = 0.0  # s to stay away, with a back-off answer; 0 = no advice
+    payload: Any = None  # a served answer as the south side took it in; the core does not look inside
+    server: str = ""
+
+
+@dataclass(slots=True)
+class RelayEnd:
+    """How a relay ended, in the module's words for outcomes."""
+
+    status: str
+    payload: Any = None
+    used: int = 0
+    cost: float = 0.0
+    load: list[float] = field(default_factory=list)
+
+
+class Relay(Protocol):
+    def drop(self) -> None:
+        """Give up: no end is reported any more."""
+
+
+class South(Protocol):
+    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None]) -> Relay:
+        """Begin one relay. `done` is called once, unless it is dropped; it may be called before this returns."""
+
+
+class ExchangeError(RuntimeError):
+    """A second final answer or a second relay: the rules forbid both."""
+
+
+class Exchange:
+    __slots__ = ("message", "until", "final", "gone", "server", "attempt", "sent", "timer", "_reply", "_south",
+                 "_relay")
+
+    def __init__(self, message: Message, until: float, reply: Callable[[Answer], None], south: South) -> None:
+        self.message, self.until = message, until
+        self.final: Answer | None = None
+        self.gone = False
+        self.server, self.attempt, self.sent = "", -1, 0.0
+        self._reply, self._south = reply, south
+        self._relay: Relay | None = None
+        self.timer: Any = None
+
+    @property
+    def out(self) -> bool:
+        return bool(self.server)
+
+    @property
+    def over(self) -> bool:
+        return self.gone or self.final is not None
+
+    def relay(self, server: str, now: float, left: float, done: Callable[[int, RelayEnd], None]) -> None:
+        if self.over or self.out:
+            raise ExchangeError(f"{self.message.id}: a relay while {'over' if self.over else 'another is out'}")
+        self.server, self.attempt, self.sent = server, self.attempt + 1, now
+        number = self.attempt
+
+        def ended(end: RelayEnd) -> None:
+            if self.out and self.attempt == number:  # guards against an end that comes after giving up
+                self._relay = None
+                done(number, end)
+
+        relay = self._south.start(self.message, server, left, ended)
+        if self.out and self.attempt == number:
+            self._relay = relay
+
+    def settle(self) -> None:
+        """The relay's end has been taken in; another may go out."""
+        self.server = ""
+
+    def drop(self) -> None:
+        """Give up the relay that is out: its connection is closed and its end is no longer heard."""
+        if self._relay is not None:
+            self._relay.drop()
+            self._relay = None
+
+    def answer(self, answer: Answer) -> None:
+        if self.final is not None:
+            raise ExchangeError(f"{self.message.id}: a second final answer")
+        self.final = answer
+        if not self.gone:
+            self._reply(answer)
--- /dev/null
+++ b/brackenpulley/core/ingress.py
@@ -0,0 +1,155 @@
+"""Drives the decision module: events in, actions out, timers. Clock and ports are passed in."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ..metrics import Metrics
+from ..policy import interface as i
+from ..policy.brain import Gateway
+from .exchange import Answer, Exchange, RelayEnd, South
+from .message import Message
+
+
+class Timers(Protocol):
+    def call_at(self, when: float, call: Callable[[], None]) -> Any:
+        """A handle with cancel()."""
+
+
+class Counter(Protocol):
+    def add(self, name: int, amount: float, ttl: float) -> None: ...
+
+
+class Log(Protocol):
+    def info(self, event: str, **more: Any) -> Any: ...
+    def exception(self, event: str, **more: Any) -> Any: ...
+
+
+class Ingress:
+    """Owns every exchange from `take` until it is over and no relay of it is out."""
+
+    def __init__(self, gateway: Gateway, clock: Callable[[], float], timers: Timers, counter: Counter,
+                 metrics: Metrics, log: Log) -> None:
+        self.gateway, self.clock, self.timers, self.counter = gateway, clock, timers, counter
+        self.metrics, self.log = metrics, log
+        self.held: dict[str, Exchange] = {}
+        self.listed = False
+        self.watch: Callable[[], None] = lambda: None  # the inventory watches by itself where changes are pushed
+        self._events: deque[i.Event] = deque()
+        self._busy = False
+        self._does: dict[type, Callable[[Any], None]] = {
+            i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.Cancel: self._cancel,
+            i.Count: self._count, i.SetTimer: self._timer, i.Watch: lambda a: self.watch(),
+            i.Fetch: lambda a: self.watch(), i.Log: lambda a: self.log.info("module", text=a.text)}
+
+    def take(self, message: Message, reply: Callable[[Answer], None], south: South) -> Exchange | None:
+        """A message was taken in; None (and nothing owed) if its id is in hand already."""
+        if message.id in self.held:
+            return None
+        self.metrics.add("messages")
+        exchange = Exchange(message, self.clock() + message.left, reply, south)
+        self.held[message.id] = exchange
+        m = message
+        self._put(i.Request(m.id, m.cls, m.plan, m.customer, m.left, m.units, m.spread, m.first, m.retry))
+        return exchange
+
+    def leave(self, exchange: Exchange) -> None:
+        """The client is gone."""
+        if exchange.over:
+            return
+        self.metrics.add("gone")
+        exchange.gone = True
+        self._put(i.Gone(exchange.message.id))
+        self._release(exchange)
+
+    def members(self, change: i.ServerList) -> None:
+        self.listed = self.listed or bool(change.entries)
+        self._put(change)
+
+    def counted(self, event: i.Counted) -> None:
+        self._put(event)
+
+    def _put(self, event: i.Event) -> None:
+        """Events that arise while the module's actions are carried out wait until these are done."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _step(self, event: i.Event) -> None:
+        try:
+            for action in self.gateway.handle(self.clock(), event):
+                self._does[type(action)](action)
+        except Exception:  # one bad event must not end the ingress; what it concerned is still answered
+            self.metrics.add("faults")
+            self.log.exception("fault", during=type(event).__name__)
+        if isinstance(event, i.Request | i.Outcome) and not self._events:
+            exchange = self.held.get(event.id)
+            if exchange and not exchange.over and not exchange.out:  # nothing was decided: the answer is owed now
+                self.metrics.add("undecided")
+                self._finish(exchange, Answer("failed", 500))
+
+    def _send(self, a: i.Send) -> None:
+        exchange = self.held[a.id]
+        now = self.clock()
+        until = min(exchange.until, now + a.timeout) if a.timeout > 0 else exchange.until
+        exchange.timer = self.timers.call_at(until, lambda: self._expired(exchange))
+        self.metrics.add("relays")
+        exchange.relay(a.server, now, until - now, lambda n, end: self._ended(exchange, n, end))
+
+    def _ended(self, exchange: Exchange, attempt: int, end: RelayEnd) -> None:
+        """A relay is over: a served one goes to the client by itself, and the module hears of each."""
+        now, m = self.clock(), exchange.message
+        exchange.timer.cancel()
+        self.metrics.add("relay_" + end.status)
+        event = i.Outcome(m.id, exchange.server, attempt, end.status, now - exchange.sent, exchange.over,
+                          end.used, end.cost, end.load)
+        if end.status == "ok" and not exchange.over:
+            event.closed = True
+            exchange.answer(Answer("served", 200, 0.0, end.payload, exchange.server))
+            self.metrics.add("served")
+        exchange.settle()
+        self._release(exchange)
+        self._put(event)
+
+    def _expired(self, exchange: Exchange) -> None:
+        exchange.drop()
+        self._ended(exchange, exchange.attempt, RelayEnd("timeout"))
+
+    def _cancel(self, a: i.Cancel) -> None:
+        exchange = self.held.get(a.id)
+        if exchange and exchange.out and exchange.attempt == a.attempt:
+            exchange.drop()
+            self._ended(exchange, a.attempt, RelayEnd("cancelled"))
+
+    def _refuse(self, a: i.Refuse) -> None:
+        if exchange := self.held.get(a.id):
+            self._finish(exchange, Answer("back-off", 503 if exchange.attempt >= 0 else 429, a.after))
+
+    def _fail(self, a: i.Fail) -> None:
+        if exchange := self.held.get(a.id):
+            self._finish(exchange, Answer("failed", 502))
+
+    def _finish(self, exchange: Exchange, answer: Answer) -> None:
+        if not exchange.over:
+            self.metrics.add(answer.kind)
+            exchange.answer(answer)
+        self._release(exchange)
+
+    def _release(self, exchange: Exchange) -> None:
+        if exchange.over and not exchange.out:
+            self.held.pop(exchange.message.id, None)
+
+    def _count(self, a: i.Count) -> None:
+        self.metrics.add("counts")
+        self.counter.add(a.name, a.amount, a.ttl)
+
+    def _timer(self, a: i.SetTimer) -> None:
+        self.timers.call_at(self.clock() + a.delay, lambda: self._put(i.Timer(a.token)))
--- /dev/null
+++ b/brackenpulley/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's wires on real sockets."""
--- /dev/null
+++ b/brackenpulley/net/loop.py
@@ -0,0 +1,146 @@
+"""The one loop: selectors, a heap of timers, a wake-up for signals. Time is passed in."""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import signal
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from ..metrics import Metrics
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+TIMERS_A_TURN = 256  # more that are due wait a turn, so that no burst of timers keeps the sockets waiting
+Ready = Callable[[int], None]
+
+
+class Timer:
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Loop:
+    """Owns the selector. A socket is owned by who registered it, who also forgets it before closing it."""
+
+    def __init__(self, clock: Callable[[], float], metrics: Metrics, log: Any) -> None:
+        self.clock, self.metrics, self.log = clock, metrics, log
+        self._selector = selectors.DefaultSelector()
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._serial = 0
+        self._urgent: set[socket.socket] = set()
+        self._soon: deque[Callable[[], None]] = deque()
+        self._signals: dict[int, Callable[[], None]] = {}
+        self._wake: socket.socket | None = None
+        self.running = False
+
+    def register(self, sock: socket.socket, events: int, ready: Ready, urgent: bool = False) -> None:
+        self._selector.register(sock, events, ready)
+        if urgent:  # served before the others of a turn
+            self._urgent.add(sock)
+
+    def want(self, sock: socket.socket, events: int, ready: Ready) -> None:
+        """Ask for these events, or for none; `ready` counts where the socket was not registered."""
+        key = self._selector.get_map().get(sock)
+        if key is None:
+            if events:
+                self._selector.register(sock, events, ready)
+        elif not events:
+            self.forget(sock)
+        elif key.events != events:
+            self._selector.modify(sock, events, key.data)
+
+    def forget(self, sock: socket.socket) -> None:
+        self._selector.unregister(sock)
+        self._urgent.discard(sock)
+
+    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
+        timer = Timer(call)
+        self._serial += 1
+        heapq.heappush(self._heap, (when, self._serial, timer))
+        return timer
+
+    def call_in(self, delay: float, call: Callable[[], None]) -> Timer:
+        return self.call_at(self.clock() + delay, call)
+
+    def call_soon(self, call: Callable[[], None]) -> None:
+        self._soon.append(call)
+
+    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+        if self._wake is None:
+            self._wake, write = socket.socketpair()
+            self._wake.setblocking(False)
+            write.setblocking(False)
+            self._wake_write = write
+            signal.set_wakeup_fd(write.fileno(), warn_on_full_buffer=False)
+            self.register(self._wake, READ, self._signalled)
+        self._signals[number] = call
+        signal.signal(number, lambda *_: None)
+
+    def _signalled(self, events: int) -> None:
+        assert self._wake is not None
+        for number in self._wake.recv(64):
+            if number in self._signals:
+                self._signals[number]()
+
+    def run(self) -> None:
+        self.running = True
+        while self.running:
+            self.turn()
+
+    def stop(self) -> None:
+        self.running = False
+
+    def turn(self, longest: float = 1.0) -> None:
+        """One turn: what the sockets bring (urgent ones first), timers that are due, calls put off."""
+        now = self.clock()
+        while self._heap and self._heap[0][2].call is None:
+            heapq.heappop(self._heap)
+        wait = min(longest, max(0.0, self._heap[0][0] - now)) if self._heap else longest
+        ready = self._selector.select(0 if self._soon else wait)
+        began = self.clock()
+        if self._urgent and len(ready) > 1:
+            ready.sort(key=lambda pair: pair[0].fileobj not in self._urgent)
+        for key, events in ready:
+            # An earlier call of this turn may have closed it, and its number may be another's by now.
+            if self._selector.get_map().get(key.fileobj) is key:
+                try:
+                    key.data(events)
+                except Exception:  # a fault in one connection must not take the others with it
+                    self._fault()
+        for _ in range(TIMERS_A_TURN):
+            if not self._heap or self._heap[0][0] > began:
+                break
+            if call := heapq.heappop(self._heap)[2].call:
+                self._call(call)
+        for _ in range(len(self._soon)):
+            self._call(self._soon.popleft())
+        self.metrics.most("longest_turn_us", int((self.clock() - began) * 1e6))
+
+    def _call(self, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception:
+            self._fault()
+
+    def _fault(self) -> None:
+        self.metrics.add("faults")
+        self.log.exception("fault")
+
+    def close(self) -> None:
+        if self._wake is not None:
+            signal.set_wakeup_fd(-1)
+            for number in self._signals:
+                signal.signal(number, signal.SIG_DFL)
+            self.forget(self._wake)
+            self._wake.close()
+            self._wake_write.close()
+            self._wake = None
+        self._selector.close()
--- /dev/null
+++ b/brackenpulley/net/north.py
@@ -0,0 +1,420 @@
+"""The north side: clients' connections. It reads messages, and writes the one answer that the exchange lets through."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+
+from ..config import Address
+from ..core.exchange import Answer, Exchange, South
+from ..core.ingress import Ingress
+from ..core.message import Message, MessageError, decode
+from ..metrics import Metrics
+from .loop import READ, WRITE, Loop
+from .pool import Pool
+
+BODY, HEAD, TARGET = 65536, 16384, 8192  # most bytes of a body, of all headers, of a request's target
+ACCEPTS_A_TURN = 64
+PARTIAL = 10.0  # s for the rest of a message that has begun, and for an answer to be taken
+IDLE = 120.0  # s after which a connection without a message is closed
+SWEEP = 2.0
+REASON = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
+          409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+          431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+          503: "Service Unavailable", 504: "Gateway Timeout"}
+HOP = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"te", b"trailer", b"upgrade",
+                 b"proxy-connection", b"host", b"expect", b"x-timeout"))
+
+
+@dataclass(slots=True)
+class Payload:
+    """What passes through to a sim server unchanged."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Parsed:
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    keep: bool
+
+
+class Fault(Exception):
+    """Bytes that get an error answer; carries the status."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class Reader:
+    """Bytes of one connection to whole messages; every part is bounded."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self.whole: deque[Parsed] = deque()
+        self.waits_to_continue = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self.partial = False
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._parts: list[bytes] = []
+        self._size = self._head = 0
+        self._headed = False
+
+    def feed(self, data: memoryview) -> None:
+        """Raises Fault. What came whole before the fault stands in `whole`."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise Fault(400) from None
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            raise Fault(cause.status if isinstance(cause, Fault) else 400) from None
+        except httptools.HttpParserError:
+            raise Fault(400) from None
+        if self.partial and not self._headed:
+            self._head += len(data)  # httptools keeps an unfinished header to itself, so the bytes fed are counted
+            if self._head > HEAD:
+                raise Fault(431)
+
+    def on_message_begin(self) -> None:
+        self._clear()
+        self.partial = True
+
+    def on_url(self, part: bytes) -> None:
+        self._target += part
+        if len(self._target) > TARGET:
+            raise Fault(431)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._size += len(name) + len(value)
+        if self._size > HEAD:
+            raise Fault(431)
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self._headed, self._size = True, 0
+        for name, value in self._headers:
+            if name == b"content-length" and int(value) > BODY:
+                raise Fault(413)
+            if name == b"expect":
+                self.waits_to_continue = True
+
+    def on_body(self, part: bytes) -> None:
+        self._size += len(part)
+        if self._size > BODY:
+            raise Fault(413)
+        self._parts.append(part)
+
+    def on_message_complete(self) -> None:
+        self.whole.append(Parsed(self._parser.get_method(), self._target, self._headers, b"".join(self._parts),
+                                 self._parser.should_keep_alive()))
+        self.waits_to_continue = False
+        self._clear()
+
+
+def message(parsed: Parsed) -> Message:
+    try:
+        named = {n.decode("ascii"): v.decode("ascii") for n, v in parsed.headers}
+        path = parsed.target.decode("ascii")
+    except UnicodeDecodeError:
+        raise MessageError("headers: not ASCII") from None
+    kept = [h for h in parsed.headers if h[0] not in HOP]
+    return decode(named, path, Payload(parsed.method, parsed.target, kept, parsed.body))
+
+
+def encode(status: int, body: bytes, keep: bool, after: float = 0.0, headers: list[tuple[bytes, bytes]] | None = None,
+           ) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASON.get(status, 'Answer')}\r\nContent-Length: {len(body)}\r\n"]
+    if after > 0:
+        lines.append(f"Retry-After: {after:.3f}\r\n")
+    if not keep:
+        lines.append("Connection: close\r\n")
+    head = "".join(lines).encode()
+    for name, value in headers or ():
+        head += name + b": " + value + b"\r\n"
+    return head + b"\r\n" + body
+
+
+class Client:
+    """One connection of the north side; owned by North, closed in North.close alone."""
+
+    __slots__ = ("sock", "reader", "exchange", "busy", "keep", "out", "since", "reading", "closing", "serial")
+
+    def __init__(self, sock: socket.socket, now: float) -> None:
+        self.sock, self.reader = sock, Reader()
+        self.exchange: Exchange | None = None
+        self.busy = False  # a message of it is in hand, its answer not yet written
+        self.keep = True
+        self.out = b""  # of the answer, what the socket has not taken yet
+        self.since = now
+        self.reading = True
+        self.closing = False
+        self.serial = 0
+
+
+class North:
+    def __init__(self, loop: Loop, pool: Pool, ingress: Ingress, south: South, metrics: Metrics, log: Any,
+                 most: int, ready: Callable[[], bool]) -> None:
+        self.loop, self.pool, self.ingress, self.south = loop, pool, ingress, south
+        self.metrics, self.log, self.most, self.ready = metrics, log, most, ready
+        self.clients: dict[Client, None] = {}  # the longest unused first
+        self.listener: socket.socket | None = None
+        self.accepting = False
+        self.draining = False
+        self.begin: Callable[[Client, Message], None] = self.take
+
+    def listen(self, at: Address) -> Address:
+        family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(at)
+        sock.listen(1024)
+        self.listener = sock
+        self._accept_on()
+        self.loop.call_in(SWEEP, self._sweep)
+        bound = sock.getsockname()
+        return bound[0], bound[1]
+
+    def _accept_on(self) -> None:
+        if self.listener and not self.accepting:
+            self.accepting = True
+            self.loop.register(self.listener, READ, self._acceptable)
+
+    def _accept_off(self) -> None:
+        if self.listener and self.accepting:
+            self.accepting = False
+            self.loop.forget(self.listener)
+
+    def _acceptable(self, events: int) -> None:
+        self.accept(ACCEPTS_A_TURN)
+
+    def accept(self, count: int) -> None:
+        for _ in range(count):
+            if self.listener is None:
+                return
+            # What waits in the backlog counts as taken: unused connections make room before anything waits there.
+            if len(self.clients) >= self.most and not self._evict():
+                self._accept_off()
+                return
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.metrics.add("out_of_descriptors")
+                    if not self._evict():
+                        self._accept_off()
+                        self.loop.call_in(0.01, self._accept_on)
+                        return
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = Client(sock, self.loop.clock())
+            self.clients[client] = None
+            self.metrics.add("accepted")
+            self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
+            self._readable(client)
+
+    def _evict(self) -> bool:
+        """Close the longest unused connection that has nothing to say."""
+        for client in self.clients:
+            if not client.busy and not client.reader.partial and not client.out and not self._spoke(client):
+                self.close(client)
+                return True
+        return False
+
+    def _spoke(self, client: Client) -> bool:
+        """Something has come that is not read yet: closing now would lose a message."""
+        try:
+            return bool(client.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def _event(self, client: Client, events: int) -> None:
+        if events & WRITE:
+            self._flush(client)
+        if events & READ and client.reading and client in self.clients:
+            self._readable(client)
+
+    def _readable(self, client: Client) -> None:
+        buffer = self.pool.take()
+        fault = 0
+        try:
+            count = client.sock.recv_into(buffer)
+            if count:
+                client.reader.feed(memoryview(buffer)[:count])
+        except BlockingIOError:
+            return
+        except OSError:
+            count = 0
+        except Fault as error:
+            fault = error.status
+        finally:
+            self.pool.give(buffer)
+        if fault:
+            self._fault(client, fault)
+            return
+        if not count:
+            self.close(client)
+            return
+        if client.reader.waits_to_continue and not client.out and not client.busy:
+            client.reader.waits_to_continue = False
+            self._write(client, b"HTTP/1.1 100 Continue\r\n\r\n")
+        client.since = self.loop.clock()
+        if not client.busy:
+            self._next(client)
+        if client.reader.whole and client in self.clients:
+            self._interest(client)
+
+    def _fault(self, client: Client, status: int) -> None:
+        self.metrics.add("malformed")
+        client.reading, client.keep = False, False
+        if client.busy:  # the answer to the message before it goes first, then the connection ends
+            client.closing = True
+            self._interest(client)
+        else:
+            client.busy = True
+            self._reply(client, status)
+
+    def _next(self, client: Client) -> None:
+        """One message of this connection; the one before it has been answered."""
+        if client not in self.clients or client.busy or not client.reader.whole:
+            return
+        parsed = client.reader.whole.popleft()
+        client.busy = True
+        client.serial += 1
+        client.keep = client.keep and parsed.keep
+        del self.clients[client]  # used last: now at the end
+        self.clients[client] = None
+        if parsed.method == b"GET" and parsed.target == b"/ready":
+            self._reply(client, 200 if self.ready() and not self.draining else 503)
+            return
+        try:
+            asked = message(parsed)
+        except MessageError as error:
+            self.metrics.add("malformed")
+            self._reply(client, 400, str(error).encode("ascii", "replace"))
+            return
+        self.begin(client, asked)
+
+    def take(self, client: Client, asked: Message) -> None:
+        serial = client.serial
+        exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south)
+        if exchange is None:
+            self._reply(client, 409, b"x-request-id: in hand already")
+        elif client.busy and client.serial == serial and not exchange.over:
+            client.exchange = exchange
+
+    def _answer(self, client: Client, serial: int, answer: Answer) -> None:
+        if client in self.clients and client.busy and client.serial == serial:
+            client.exchange = None
+            if answer.kind == "served":
+                body, headers = answer.payload
+                self._reply(client, 200, body, 0.0, headers)
+            else:
+                self._reply(client, answer.status, b"", answer.after)
+
+    def _reply(self, client: Client, status: int, body: bytes = b"", after: float = 0.0,
+               headers: list[tuple[bytes, bytes]] | None = None) -> None:
+        client.keep = client.keep and not self.draining
+        self._write(client, encode(status, body, client.keep, after, headers))
+
+    def _write(self, client: Client, data: bytes) -> None:
+        client.out += data
+        self._flush(client)
+
+    def _flush(self, client: Client) -> None:
+        if client.out:
+            try:
+                sent = client.sock.send(client.out)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self.close(client)
+                return
+            client.out = client.out[sent:]
+        if client.out:
+            self._interest(client)
+            return
+        if client.busy and client.exchange is None:
+            self._done(client)
+        else:
+            self._interest(client)
+
+    def _done(self, client: Client) -> None:
+        """The answer is out whole."""
+        client.busy, client.since = False, self.loop.clock()
+        if not client.keep or client.closing:
+            self.close(client)
+        elif client.reader.whole:
+            self.loop.call_soon(lambda: self._next(client))
+        else:
+            self._interest(client)
+
+    def _interest(self, client: Client) -> None:
+        """Read unless messages wait that came too early; write while something waits to be written."""
+        wanted = (READ if client.reading and not (client.busy and client.reader.whole) else 0) | (
+            WRITE if client.out else 0)
+        self.loop.want(client.sock, wanted, lambda events: self._event(client, events))
+
+    def close(self, client: Client) -> None:
+        """The one place where a client's connection is given back."""
+        if client not in self.clients:
+            return
+        del self.clients[client]
+        self.loop.want(client.sock, 0, lambda events: None)
+        client.sock.close()
+        self.metrics.add("closed")
+        if client.exchange is not None:
+            exchange, client.exchange = client.exchange, None
+            self.ingress.leave(exchange)
+        client.reader.whole.clear()
+        if len(self.clients) < self.most:
+            self._accept_on()
+
+    def _sweep(self) -> None:
+        """Connections that stand still: half a message, an answer nobody takes, no message for long."""
+        now = self.loop.clock()
+        for client in list(self.clients):
+            still = now - client.since
+            if client.out and still > PARTIAL:
+                self.close(client)
+            elif not client.busy and client.reader.partial and still > PARTIAL:
+                client.busy = True
+                client.keep = client.reading = False
+                self._reply(client, 408)
+            elif not client.busy and not client.reader.partial and still > IDLE and not self._spoke(client):
+                self.close(client)
+        if self.listener is not None or self.clients:
+            self.loop.call_in(SWEEP, self._sweep)
+
+    def stop_listening(self) -> None:
+        """What has reached the backlog is taken in first."""
+        self.accept(4096)
+        self._accept_off()
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
+    def close_unused(self) -> None:
+        for client in list(self.clients):
+            if not client.busy and not client.reader.partial and not client.out and not self._spoke(client):
+                self.close(client)
--- /dev/null
+++ b/brackenpulley/serve.py
@@ -0,0 +1,127 @@
+"""Puts the parts together for one real ingress, and ends it in order."""
+
+from __future__ import annotations
+
+import gc
+import resource
+import signal
+import time
+from typing import Any
+
+import structlog
+
+from .config import Config
+from .core.ingress import Ingress
+from .metrics import Metrics
+from .net.counter import CounterClient
+from .net.inventory import Discovery, Inventory
+from .net.loop import Loop
+from .net.north import North
+from .net.pool import Pool
+from .net.south import Southside
+from .policy.brain import Gateway
+
+LINGER = 0.5  # s after SIGTERM in which new connections are still taken
+SPARE = 64  # descriptors for everything but clients and sim servers
+KNOWN_ENOUGH = 1.5  # s after which the list from the configuration must do
+
+
+def wall_clock() -> Any:
+    """Unix time that never jumps: the clock of the module, shared by all ingresses through the counter's names."""
+    offset, monotonic = time.time() - time.monotonic(), time.monotonic
+    return lambda: monotonic() + offset
+
+
+class NoCounter:
+    def add(self, name: int, amount: float, ttl: float) -> None:
+        raise AssertionError("the settings allow no counting")
+
+
+class Daemon:
+    def __init__(self, config: Config, log: Any) -> None:
+        self.config, self.log, self.metrics = config, log, Metrics()
+        self.clock = wall_clock()
+        self.loop = Loop(self.clock, self.metrics, log)
+        self.pool = Pool()
+        self.born = self.clock()
+        gateway = Gateway(config.settings, config.seed, self.born)
+        self.counter: CounterClient | None = None
+        if config.counter is not None and config.settings.counter:
+            self.counter = CounterClient(self.loop, self.pool, config.counter, config.settings.counter_timeout,
+                                         self.metrics, lambda event: self.ingress.counted(event))
+        self.ingress = Ingress(gateway, self.clock, self.loop, self.counter or NoCounter(), self.metrics, log)
+        self.inventory = Inventory(self.ingress.members)
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - SPARE
+        fields = config.settings.report_fields
+        self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
+                               config.transport.idle, config.transport.connect, fields)
+        self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, sockets * 3 // 5,
+                           self.ready)
+        self.discovery: Discovery | None = None
+        self.ending = False
+
+    def ready(self) -> bool:
+        told = self.discovery is None or self.discovery.heard or self.clock() - self.born > KNOWN_ENOUGH
+        return told and self.ingress.listed and len(self.inventory) > 0
+
+    def start(self) -> None:
+        if self.config.known:
+            try:
+                self.inventory.told(self.config.known, stale=True)
+            except (ValueError, TypeError) as error:  # an old list is a help, not a need
+                self.log.error("known", error=str(error))
+        if self.config.discovery is not None:
+            self.discovery = Discovery(self.loop, self.pool, self.inventory, self.config.discovery, self.metrics,
+                                       self.log)
+            self.discovery.start()
+        self.loop.on_signal(signal.SIGTERM, self.end)
+        self.loop.on_signal(signal.SIGINT, self.end)
+        self.loop.on_signal(signal.SIGUSR1, self.report)
+        at = self.north.listen(self.config.listen)
+        self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
+
+    def report(self) -> None:
+        self.log.info("counters", **self.metrics.table())
+
+    def end(self) -> None:
+        """Take what still arrives for a while, finish all that is held, then stop."""
+        if not self.ending:
+            self.ending = self.north.draining = True
+            self.log.info("ending")
+            self.loop.call_in(LINGER, self._close_doors)
+
+    def _close_doors(self) -> None:
+        self.north.stop_listening()
+        self._finish()
+
+    def _finish(self) -> None:
+        self.north.close_unused()
+        if self.north.clients or self.ingress.held:
+            self.loop.call_in(0.02, self._finish)
+        else:
+            self.loop.stop()
+
+    def run(self) -> None:
+        self.start()
+        gc.collect()
+        gc.freeze()  # what lives for ever is never looked at again, so that collections stay short
+        try:
+            self.loop.run()
+        finally:
+            self.report()
+            if self.discovery is not None:
+                self.discovery.stop()
+            self.loop.close()
+
+
+def make_log() -> Any:
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
+                    structlog.processors.format_exc_info, structlog.processors.LogfmtRenderer(
+                        key_order=["timestamp", "level", "event"], bool_as_flag=False)],
+        logger_factory=structlog.PrintLoggerFactory(), cache_logger_on_first_use=True)
+    return structlog.get_logger()
+
+
+def serve(config: Config) -> None:
+    Daemon(config, make_log()).run()
--- /dev/null
+++ b/brackenpulley/settings.py
@@ -0,0 +1,60 @@
+"""Decoding of the settings, the same object on the simulator's wire and in a real ingress's configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from .policy import interface as i
+
+EFFECT = {"free": "safe", "guarded": "keyed", "single_shot": "unsafe"}
+VIA = {"piggyback": "answers", "pull": "probe", "silent": "none"}
+FIELD = {"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util", "svc_ms": "latency_ms",
+         "served_ps": "qps", "failed_ps": "eps"}
+JSON = dict[str, Any]
+
+
+def settings(s: JSON) -> i.Settings:
+    def need(obj: JSON, key: str) -> Any:
+        if key not in obj:
+            raise i.SettingsError(f"{key}: missing")
+        return obj[key]
+
+    classes = [i.ClassSpec(
+        name=need(c, "Name"), aim=need(c, "Objective"), deadline=need(c, "GiveUp"), worth=need(c, "Value"),
+        effect=EFFECT.get(need(c, "Idempotency"), c["Idempotency"]), group=c.get("Group", "all"),
+        window=c.get("Window", 0.0), late_worth=c.get("LateWorth", 0.0), stream=c.get("Streamed", False),
+        aim_stretch=c.get("AimStretch", 0.0)) for c in need(s, "Classes")]
+    plans = [i.PlanSpec(
+        name=need(p, "Name"), rate=p.get("QuotaRate", 0.0), burst=p.get("Burst", 0.0), open=p.get("MaxOut", 0),
+        price=p.get("Pays", 1.0), over_worth=p.get("ExtraWorth", 0.0), over_cost=p.get("OverCost", 0.0),
+        ceiling_rate=p.get("HardRate", 0.0), ceiling_burst=p.get("CeilingBurst", 0.0),
+        ceiling_slack=p.get("CeilingSlack", 0.0)) for p in s.get("TiersOfService", [])]
+    lim, inv, ext, rep = (need(s, k) for k in ("Limits", "Invariants", "Extra", "Report"))
+    return i.Settings(
+        classes=classes, plans=plans, me=need(s, "MyNumber"), gateways=need(s, "NInstances"), zone=s.get("Zone", ""),
+        tick=need(s, "Resolution"), max_attempts=need(lim, "AttemptsCap"), cancel=lim.get("MayCancel", False),
+        probes=lim.get("Probing", False), peers=lim.get("Peers", False), counter=ext.get("MayCount", False),
+        discovery="ask" if s.get("MembershipMode") == "subscribe" else "push",
+        retry_after=lim.get("RetryAfter", False), max_retry_after=lim.get("MaxRetryAfter", 0.0),
+        drain_grace=need(inv, "StopSendingWithin"), ask_within=inv.get("AskWithin", 10.0),
+        cold_from=need(inv, "ColdFrom"), cold_time=need(inv, "Cold"), fall_multiple=need(inv, "OverloadFactor"),
+        fall_time=need(inv, "TipAfter"), counter_timeout=ext.get("CountWait", 0.0),
+        meter_period=ext.get("Metering", 0.0), most_units=ext.get("MostUnits", 1), settles=ext.get("Settles", False),
+        peer_per_s=ext.get("MailPerS", 0.0), report_via=VIA.get(rep.get("Via", "silent"), "none"),
+        report_fields=[FIELD.get(f, f) for f in rep.get("Fields") or []])
+
+
+@dataclass(slots=True, frozen=True)
+class Transport:
+    """What the settings say of connections; the module has no use for it."""
+
+    idle: float = 30.0
+    connect: float = 0.25
+    longest: float = 10.0  # the longest time that a client waits
+
+
+def transport(s: JSON) -> Transport:
+    limits = s.get("Limits", {})
+    longest = max((float(c.get("GiveUp", 0.0)) for c in s.get("Classes", [])), default=0.0)
+    return Transport(float(limits.get("ConnIdle") or 30.0), float(limits.get("ConnectTimeout") or 0.25), longest)
