--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -11,7 +11,7 @@
 
 @dataclass(slots=True)
 class Answer:
-    """What the client is told. `kind`: served, back-off, failed or denied."""
+    """What the client is told. `kind`: served, granted (a front that relays nothing), back-off, failed or denied."""
 
     kind: str
     status: int
@@ -31,6 +31,26 @@
     load: list[float] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Verdict:
+    """What an authoriser says of a message: allow, deny, or unknown (it stalled, broke or could not be reached)."""
+
+    kind: str
+    status: int = 0
+    payload: Any = None  # of a denial
+    amend: Callable[[Any], Any] | None = None  # what an allowed message's payload becomes
+
+
+class Asking(Protocol):
+    def drop(self) -> None:
+        """Give up: no verdict is reported any more."""
+
+
+class Authoriser(Protocol):
+    def ask(self, message: Message, left: float, done: Callable[[Verdict], None]) -> Asking:
+        """`done` is called once, within `left`, unless it is dropped; never before this returns."""
+
+
 class Relay(Protocol):
     def drop(self) -> None:
         """Give up: no end is reported any more."""
@@ -46,8 +66,8 @@
 
 
 class Exchange:
-    __slots__ = ("message", "until", "final", "gone", "server", "attempt", "sent", "timer", "_reply", "_south",
-                 "_relay")
+    __slots__ = ("message", "until", "final", "gone", "server", "attempt", "sent", "timer", "asking",
+                 "_reply", "_south", "_relay")
 
     def __init__(self, message: Message, until: float, reply: Callable[[Answer], None], south: South) -> None:
         self.message, self.until = message, until
@@ -57,11 +77,16 @@
         self._reply, self._south = reply, south
         self._relay: Relay | None = None
         self.timer: Any = None
+        self.asking: Asking | None = None  # the authoriser's verdict is awaited; the module knows nothing of it yet
 
     @property
     def out(self) -> bool:
         return bool(self.server)
 
+    @property
+    def owed(self) -> bool:
+        return not self.over and not self.out and self.asking is None
+
     @property
     def over(self) -> bool:
         return self.gone or self.final is not None
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -9,7 +9,7 @@
 from ..metrics import Metrics
 from ..policy import interface as i
 from ..policy.brain import Gateway
-from .exchange import Answer, Exchange, RelayEnd, South
+from .exchange import Answer, Authoriser, Exchange, RelayEnd, South, Verdict
 from .message import Message
 
 
@@ -36,6 +36,8 @@
         self.metrics, self.log = metrics, log
         self.held: dict[str, Exchange] = {}
         self.listed = False
+        self.authoriser: Authoriser | None = None
+        self.fail_open = False  # without a verdict the module decides; else the message is turned away
         self.watch: Callable[[], None] = lambda: None  # the inventory watches by itself where changes are pushed
         self._events: deque[i.Event] = deque()
         self._busy = False
@@ -51,16 +53,41 @@
         self.metrics.add("messages")
         exchange = Exchange(message, self.clock() + message.left, reply, south)
         self.held[message.id] = exchange
-        m = message
-        self._put(i.Request(m.id, m.cls, m.plan, m.customer, m.left, m.units, m.spread, m.first, m.retry))
+        if self.authoriser is None:
+            self._admit(exchange)
+        else:
+            exchange.asking = self.authoriser.ask(message, message.left, lambda verdict: self._heard(exchange, verdict))
         return exchange
 
+    def _admit(self, exchange: Exchange) -> None:
+        """The module decides, with the time that remains."""
+        m = exchange.message
+        left = max(0.0, exchange.until - self.clock())
+        self._put(i.Request(m.id, m.cls, m.plan, m.customer, left, m.units, m.spread, m.first, m.retry))
+
+    def _heard(self, exchange: Exchange, verdict: Verdict) -> None:
+        exchange.asking = None
+        self.metrics.add("verdict_" + verdict.kind)
+        if verdict.kind == "deny":  # final, and it takes no quota: the module never hears of the message
+            self._finish(exchange, Answer("denied", verdict.status, 0.0, verdict.payload))
+        elif verdict.kind == "allow" or self.fail_open:
+            if verdict.amend is not None:
+                exchange.message.payload = verdict.amend(exchange.message.payload)
+            self._admit(exchange)
+        else:
+            self._finish(exchange, Answer("failed", 503))
+
     def leave(self, exchange: Exchange) -> None:
         """The client is gone."""
         if exchange.over:
             return
         self.metrics.add("gone")
         exchange.gone = True
+        if exchange.asking is not None:
+            exchange.asking.drop()
+            exchange.asking = None
+            self._release(exchange)
+            return
         self._put(i.Gone(exchange.message.id))
         self._release(exchange)
 
@@ -92,7 +119,7 @@
             self.log.exception("fault", during=type(event).__name__)
         if isinstance(event, i.Request | i.Outcome) and not self._events:
             exchange = self.held.get(event.id)
-            if exchange and not exchange.over and not exchange.out:  # nothing was decided: the answer is owed now
+            if exchange and exchange.owed:  # nothing was decided: the answer is owed now
                 self.metrics.add("undecided")
                 self._finish(exchange, Answer("failed", 500))
 
@@ -113,8 +140,15 @@
                           end.used, end.cost, end.load)
         if end.status == "ok" and not exchange.over:
             event.closed = True
-            exchange.answer(Answer("served", 200, 0.0, end.payload, exchange.server))
             self.metrics.add("served")
+            exchange.answer(Answer("served", 200, 0.0, end.payload, exchange.server))
+        elif end.status == "granted":
+            # The attempt runs where this ingress cannot see it. "cancelled" is the one outcome that the module takes
+            # without judging the server or learning a latency; the units stay taken as guessed.
+            event.status, event.closed = "cancelled", True
+            if not exchange.over:
+                self.metrics.add("granted")
+                exchange.answer(Answer("granted", 200, server=exchange.server))
         exchange.settle()
         self._release(exchange)
         self._put(event)
--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -48,6 +48,8 @@
 
     def want(self, sock: socket.socket, events: int, ready: Ready) -> None:
         """Ask for these events, or for none; `ready` counts where the socket was not registered."""
+        if sock.fileno() < 0:
+            return
         key = self._selector.get_map().get(sock)
         if key is None:
             if events:
@@ -109,8 +111,9 @@
         if self._urgent and len(ready) > 1:
             ready.sort(key=lambda pair: pair[0].fileobj not in self._urgent)
         for key, events in ready:
-            # An earlier call of this turn may have closed it, and its number may be another's by now.
-            if self._selector.get_map().get(key.fileobj) is key:
+            # An earlier call of this turn may have closed it, and its number may be another's by now. Asked by number:
+            # a closed socket has none, and the selector raises when asked for it.
+            if self._selector.get_map().get(key.fd) is key:
                 try:
                     key.data(events)
                 except Exception:  # a fault in one connection must not take the others with it
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -209,10 +209,6 @@
         for _ in range(count):
             if self.listener is None:
                 return
-            # What waits in the backlog counts as taken: unused connections make room before anything waits there.
-            if len(self.clients) >= self.most and not self._evict():
-                self._accept_off()
-                return
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
@@ -232,6 +228,10 @@
             self.metrics.add("accepted")
             self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
             self._readable(client)
+            # What waits in the backlog counts as taken: unused connections make room before anything waits there.
+            if len(self.clients) > self.most and not self._evict():
+                self._accept_off()
+                return
 
     def _evict(self) -> bool:
         """Close the longest unused connection that has nothing to say."""
@@ -414,6 +414,14 @@
             self.listener.close()
             self.listener = None
 
+    def stop(self) -> None:
+        if self.listener is not None:
+            self._accept_off()
+            self.listener.close()
+            self.listener = None
+        for client in list(self.clients):
+            self.close(client)
+
     def close_unused(self) -> None:
         for client in list(self.clients):
             if not client.busy and not client.reader.partial and not client.out and not self._spoke(client):
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -4,7 +4,7 @@
 
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import httptools
 
@@ -34,7 +34,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
-        self.whole = self.headed = False
+        self.whole = self.headed = self.keep = False
         self._parts: list[bytes] = []
         self._size = 0
         self._framed = False
@@ -58,10 +58,6 @@
     def status(self) -> int:
         return int(self._parser.get_status_code())
 
-    @property
-    def keep(self) -> bool:
-        return self.whole and self._framed and bool(self._parser.should_keep_alive())
-
     def on_header(self, name: bytes, value: bytes) -> None:
         self.headers.append((name.lower(), value))
         if len(self.headers) > 100:
@@ -83,16 +79,18 @@
             self.headed = False
             return
         self.whole, self.body = True, b"".join(self._parts)
+        # Asked here and not later: once the message is over, the parser says no for every connection.
+        self.keep = self._framed and bool(self._parser.should_keep_alive())
 
 
-def outcome(reply: Reply, fields: list[str]) -> RelayEnd:
+def outcome(reply: Reply, fields: Sequence[str]) -> RelayEnd:
     """An answer in the module's words. What cannot be read in a header is passed over."""
     end = RelayEnd("error")
     passed: list[tuple[bytes, bytes]] = []
     not_run = False
     for name, value in reply.headers:
         if name == b"x-allowance-used":
-            end.used = 1 + max(0, int(_number(value, -1.0)))
+            end.used = max(0, 1 + int(_number(value, -1.0)))
         elif name == b"x-true-cost":
             end.cost = max(0.0, _number(value, 0.0))
         elif name == b"x-server-load":
@@ -116,7 +114,7 @@
     return number if abs(number) < 1e9 else default  # also passes over inf and nan
 
 
-def report(value: bytes, fields: list[str]) -> list[float]:
+def report(value: bytes, fields: Sequence[str]) -> list[float]:
     """'TEXT inflight=7, util=0.61' in the order of the settings' fields; empty unless all are there."""
     found: dict[str, float] = {}
     for part in value.decode("ascii", "replace").removeprefix("TEXT").split(","):
@@ -161,7 +159,7 @@
 
 class Southside:
     def __init__(self, loop: Loop, pool: Pool, inventory: Inventory, metrics: Metrics, most: int, idle: float,
-                 connect: float, fields: list[str]) -> None:
+                 connect: float, fields: Sequence[str]) -> None:
         self.loop, self.pool, self.inventory, self.metrics = loop, pool, inventory, metrics
         self.most, self.retire, self.connect, self.fields = most, idle * RETIRE, connect, fields
         self.unused: dict[Address, list[Conn]] = {}  # the last used at the end
@@ -346,6 +344,11 @@
         conn.sock.close()
         self.count -= 1
 
+    def stop(self) -> None:
+        for kept in list(self.unused.values()):
+            for conn in list(kept):
+                self.close(conn)
+
     def _sweep(self) -> None:
         old = self.loop.clock() - self.retire
         for at in list(self.unused):
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import time
+from collections.abc import Callable
 from typing import Any
 
 import structlog
@@ -26,7 +27,7 @@
 KNOWN_ENOUGH = 1.5  # s after which the list from the configuration must do
 
 
-def wall_clock() -> Any:
+def wall_clock() -> Callable[[], float]:
     """Unix time that never jumps: the clock of the module, shared by all ingresses through the counter's names."""
     offset, monotonic = time.time() - time.monotonic(), time.monotonic
     return lambda: monotonic() + offset
@@ -38,9 +39,9 @@
 
 
 class Daemon:
-    def __init__(self, config: Config, log: Any) -> None:
+    def __init__(self, config: Config, log: Any, clock: Callable[[], float] | None = None) -> None:
         self.config, self.log, self.metrics = config, log, Metrics()
-        self.clock = wall_clock()
+        self.clock = clock or wall_clock()
         self.loop = Loop(self.clock, self.metrics, log)
         self.pool = Pool()
         self.born = self.clock()
@@ -52,9 +53,8 @@
         self.ingress = Ingress(gateway, self.clock, self.loop, self.counter or NoCounter(), self.metrics, log)
         self.inventory = Inventory(self.ingress.members)
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - SPARE
-        fields = config.settings.report_fields
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
-                               config.transport.idle, config.transport.connect, fields)
+                               config.transport.idle, config.transport.connect, config.transport.fields)
         self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, sockets * 3 // 5,
                            self.ready)
         self.discovery: Discovery | None = None
@@ -64,7 +64,7 @@
         told = self.discovery is None or self.discovery.heard or self.clock() - self.born > KNOWN_ENOUGH
         return told and self.ingress.listed and len(self.inventory) > 0
 
-    def start(self) -> None:
+    def start(self, signals: bool = True) -> None:
         if self.config.known:
             try:
                 self.inventory.told(self.config.known, stale=True)
@@ -74,9 +74,10 @@
             self.discovery = Discovery(self.loop, self.pool, self.inventory, self.config.discovery, self.metrics,
                                        self.log)
             self.discovery.start()
-        self.loop.on_signal(signal.SIGTERM, self.end)
-        self.loop.on_signal(signal.SIGINT, self.end)
-        self.loop.on_signal(signal.SIGUSR1, self.report)
+        if signals:
+            self.loop.on_signal(signal.SIGTERM, self.end)
+            self.loop.on_signal(signal.SIGINT, self.end)
+            self.loop.on_signal(signal.SIGUSR1, self.report)
         at = self.north.listen(self.config.listen)
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
 
@@ -109,9 +110,17 @@
             self.loop.run()
         finally:
             self.report()
-            if self.discovery is not None:
-                self.discovery.stop()
-            self.loop.close()
+            self.close()
+
+    def close(self) -> None:
+        """Give everything back: each part closes what it owns, the loop last."""
+        self.north.stop()
+        self.south.stop()
+        if self.counter is not None:
+            self.counter.stop()
+        if self.discovery is not None:
+            self.discovery.stop()
+        self.loop.close()
 
 
 def make_log() -> Any:
--- a/brackenpulley/settings.py
+++ b/brackenpulley/settings.py
@@ -52,9 +52,11 @@
     idle: float = 30.0
     connect: float = 0.25
     longest: float = 10.0  # the longest time that a client waits
+    fields: tuple[str, ...] = ()  # of a load report, under the names that the settings give them
 
 
 def transport(s: JSON) -> Transport:
     limits = s.get("Limits", {})
     longest = max((float(c.get("GiveUp", 0.0)) for c in s.get("Classes", [])), default=0.0)
-    return Transport(float(limits.get("ConnIdle") or 30.0), float(limits.get("ConnectTimeout") or 0.25), longest)
+    return Transport(float(limits.get("ConnIdle") or 30.0), float(limits.get("ConnectTimeout") or 0.25), longest,
+                     tuple(s.get("Report", {}).get("Fields") or ()))
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,406 @@
+"""One rule a test, on real sockets; then tables of cases for the parsers."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from brackenpulley.net.counter import Replies, ReplyError
+from brackenpulley.net.counter import encode as encode_call
+from brackenpulley.net.north import Fault, Reader
+from brackenpulley.net.south import Malformed, Reply, outcome
+
+from .rig import Peer, Rig, rig
+from .test_link import SETTINGS
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-True-Cost: 3\r\nX-Kind: k\r\n\r\nbody"
+
+
+def test_an_answer_passes_unchanged_and_both_connections_are_kept() -> None:
+    with rig() as r:
+        client = r.ask(1, method="POST", body=b"in", more="Idempotency-Key: k1\r\n")
+        _, server = r.served()
+        _, head, body = server.answer()
+        assert head.startswith(b"POST /a/0000000000000001?q=1 HTTP/1.1\r\n") and body == b"in"
+        assert b"x-request-id: 0000000000000001\r\n" in head and b"idempotency-key: k1\r\n" in head
+        assert b"X-Timeout: 89" in head  # what is left of the 9000m, less the margin
+        server.send(OK)
+        status, head, body = client.answer()
+        assert (status, body) == (200, b"body") and b"x-kind: k" in head and b"x-true-cost" not in head
+        r.ask(2, wire=client)
+        # Guards against asking the parser about keep-alive too late: it then opened a connection for every relay.
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200 and r.count("connects") == 1
+
+
+@pytest.mark.parametrize("effect", ["free", "single_shot"])
+def test_a_reset_after_the_last_byte_may_have_run(effect: str) -> None:
+    with rig(2, effect=effect) as r:
+        client = r.ask()
+        first, server = r.served()
+        server.answer()
+        server.reset()
+        if effect == "free":  # the module may send it again, elsewhere
+            again, server = r.served()
+            assert again != first
+            server.answer()
+            server.send(OK)
+        assert client.answer()[0] == (200 if effect == "free" else 502)
+        assert r.count("relay_reset") == 1 and r.count("relays") == (2 if effect == "free" else 1)
+
+
+@pytest.mark.parametrize("how", ["refused", "turned away"])
+def test_what_never_ran_goes_again_whatever_its_class(how: str) -> None:
+    closing = b"Connection: close\r\n\r\n"
+    with rig(2, effect="single_shot") as r:
+        if how == "refused":
+            r.peers["s-0"].sock.close()
+        clients = [r.ask(number) for number in (1, 2)]  # at once: the second goes to the other one
+        for _ in clients:
+            _, server = r.served()
+            server.answer()
+            if how == "turned away" and r.count("relay_full") == 0:
+                server.send(b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n" + closing)
+                r.until(lambda: r.count("relay_full") == 1)
+                _, server = r.served()
+                server.answer()
+            server.send(OK.replace(b"\r\n\r\n", b"\r\n" + closing))
+        assert [c.answer()[0] for c in clients] == [200, 200]
+        assert r.count("relay_connect_failed") + r.count("relay_full") >= 1
+
+
+def test_a_kept_connection_that_has_ended_is_not_used_again() -> None:
+    with rig() as r:
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200
+        r.daemon.loop.forget(next(iter(r.daemon.south.unused.values()))[0].sock)  # its end is not heard of in time
+        server.close()
+        conn = next(iter(r.daemon.south.unused.values()))[0]
+        r.daemon.loop.register(conn.sock, 1, lambda events: None)
+        r.ask(2, wire=client)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200 and r.count("relays") == 2
+
+
+def test_a_kept_connection_is_retired_well_before_the_idle_limit() -> None:
+    with rig() as r:
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200
+        r.skip(20.0)
+        assert server.ended()
+
+
+def test_a_silent_server_is_given_up_on_and_answered_in_time() -> None:
+    with rig() as r:
+        client = r.ask(1, timeout="6000m")
+        _, server = r.served()
+        server.answer()
+        r.skip(5.9)
+        assert r.daemon.ingress.held
+        r.skip(0.08)  # 20 ms before the client's own time is up
+        status, head, _ = client.answer()
+        assert status in (502, 503) and server.ended() and not r.daemon.ingress.held
+
+
+def test_a_client_that_leaves_ends_its_relay() -> None:
+    with rig() as r:
+        client = r.ask()
+        _, server = r.served()
+        server.answer()
+        client.close()
+        assert server.ended() and r.count("gone") == 1 and not r.daemon.ingress.held
+
+
+def test_what_drains_between_choice_and_first_byte_gets_nothing() -> None:
+    with rig() as r:
+        client = r.ask()
+        r.until(lambda: r.count("connects") == 1)
+        r.daemon.inventory.told(r.listing(s_0="DRAINING"))  # the connection is not up yet
+        assert client.answer()[0] == 503 and r.count("drained_before_send") == 1
+        assert r.peers["s-0"].accept().seen == b""
+        assert r.count("relay_connect_failed") == 1
+
+
+def test_a_refusal_is_answered_at_once_with_its_advice() -> None:
+    with rig() as r:
+        wires = [r.ask(7, more="X-Weight: units=8\r\n", wire=None)]
+        r.served()[1].answer()
+        client = r.ask(0x10, more="X-Weight: units=8\r\n")
+        client.close()
+        refused = r.ask(7 + 0x100, more="X-Weight: units=50\r\n")
+        status, head, _ = refused.answer()
+        after = float(head.split(b"Retry-After: ")[1].split(b"\r\n")[0])
+        assert status == 429 and 0 < after <= 2.0 and wires
+
+
+@pytest.mark.parametrize("more", ["X-Priority-Class: zz\r\n", "X-Tariff: zz\r\n"])
+def test_an_unknown_class_or_plan_is_answered(more: str) -> None:
+    with rig() as r:
+        assert r.ask(more=more).answer()[0] == 429
+
+
+HEAD = b"GET /a/1 HTTP/1.1\r\nHost: h\r\n"
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"nonsense\r\n\r\n", 400), (HEAD + b"\r\n", 400), (HEAD + b"X-Request-ID: 1\r\n\r\n", 400),
+    (HEAD + b"X-Request-ID: 1\r\nX-Timeout: 4x\r\n\r\n", 400), (b"GET /a/zz HTTP/1.1\r\nX-Request-ID: 1\r\n\r\n", 400),
+    (HEAD + b"X-Request-ID: 1\r\nX-Timeout: 4m\r\nX-Weight: units=-1\r\n\r\n", 400),
+    (HEAD + b"Content-Length: 65537\r\n\r\n", 413),
+    (HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n" + b"x" * 0x8000 + b"\r\n8001\r\n" + b"x" * 0x8001, 413),
+    (HEAD + b"X: " + b"y" * 20000 + b"\r\n\r\n", 431), (b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\n\r\n", 431),
+    (HEAD + b"X-Never-Ends: " + b"y" * 30000, 431), (b"GET /ready HTTP/1.1\r\n\r\n", 200),
+])
+def test_malformed_input_gets_its_status_and_harms_nobody(data: bytes, status: int) -> None:
+    with rig() as r:
+        assert r.client().send(data).answer()[0] == status
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+
+
+def test_the_same_id_twice_in_hand_is_a_conflict() -> None:
+    with rig() as r:
+        first, second = r.ask(1), r.ask(1)
+        assert second.answer()[0] == 409
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert first.answer()[0] == 200
+
+
+def test_ready_only_with_a_list() -> None:
+    with rig(servers=0) as r:
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 503
+
+
+def test_at_the_cap_an_unused_connection_makes_room() -> None:
+    with rig() as r:
+        r.daemon.north.most = 2
+        old, new = r.client(), r.client()
+        r.until(lambda: len(r.daemon.north.clients) == 2)
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+        assert old.ended() and len(r.daemon.north.clients) == 2
+        new.close()
+
+
+def test_running_out_of_descriptors_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
+    with rig() as r:
+        real, failed = socket.socket.accept, []
+
+        def accept(sock: Any) -> Any:
+            if sock is r.daemon.north.listener and len(failed) < 3:
+                failed.append(1)
+                raise OSError(errno.EMFILE, "no more")
+            return real(sock)
+        monkeypatch.setattr(socket.socket, "accept", accept)
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+        assert r.count("out_of_descriptors") == 3
+
+
+def test_an_end_serves_what_still_arrives_and_finishes_what_is_held() -> None:
+    with rig() as r:
+        kept, client = r.client(), r.ask(1)
+        _, server = r.served()
+        server.answer()
+        r.daemon.loop.running = True
+        r.daemon.end()
+        late = r.ask(2)
+        r.until(lambda: r.count("relays") == 2)
+        r.skip(0.6)
+        assert kept.ended() and r.daemon.loop.running
+        _, second = r.served()
+        second.answer()
+        for wire in (server, second):
+            wire.send(OK)
+        for wire in (client, late):
+            status, head, _ = wire.answer()
+            assert status == 200 and b"Connection: close" in head and wire.ended()
+        r.skip(0.1)
+        assert not r.daemon.loop.running
+
+
+def test_the_counter_is_told_and_each_way_it_can_fail_has_its_outcome() -> None:
+    with rig(counter=True) as r:
+        ends: list[tuple[str, float]] = []
+        client = r.daemon.counter
+        assert client is not None
+        client.tell = lambda e: ends.append((e.status, e.total))
+        client.add(5, 1.5, 4.0)
+        wire = r.counter.accept()
+        assert wire.until(b"4000\r\n") == b"*4\r\n$7\r\nCNT.ADD\r\n$1\r\n5\r\n$3\r\n1.5\r\n$4\r\n4000\r\n"
+        r.skip(0.04)
+        assert ends == [("timeout", 0.0)]
+        client.add(6, 2, 4.0)
+        client.add(7, 2, 4.0)
+        wire.send(b"$1\r\n3\r\n$2\r\n12\r\n-BUSY\r\n")  # the first one answers the call given up on
+        r.until(lambda: len(ends) == 3)
+        assert ends[1:] == [("ok", 12.0), ("full", 0.0)] and r.count("count_late") == 1
+        client.add(8, 1, 4.0)
+        wire.until(b"$1\r\n8\r\n")
+        wire.reset()
+        r.until(lambda: len(ends) == 4)
+        assert ends[3][0] == "timeout"  # written whole: it may have been added
+        r.counter.sock.close()
+        r.skip(0.1)
+        client.add(9, 1, 4.0)
+        r.until(lambda: len(ends) == 5)
+        assert ends[4][0] == "connect_failed"
+
+
+def chunk(obj: Any) -> bytes:
+    line = json.dumps(obj).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(line), line)
+
+
+def test_discovery_is_listed_then_watched_and_asked_again_at_once() -> None:
+    scout = Rig()
+    source = Peer(scout)
+    scout.close()
+    with rig(discovery=source.at, known={}) as r:
+        source.rig = r
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 503
+        wire = source.accept()
+        assert wire.until(b"\r\n\r\n").startswith(b"GET /v1/endpoints HTTP/1.1")
+        body = json.dumps(r.listing()).encode()
+        wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        wire = source.accept()
+        assert b"?watch=1&from=7 " in wire.until(b"\r\n\r\n")
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+        change = {**r.listing(s_0="DRAINING"), "reset": False, "generation": 8}
+        wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(change))
+        r.until(lambda: not r.daemon.inventory.usable("s-0"))
+        wire.reset()
+        wire = source.accept()
+        assert b"from=8 " in wire.until(b"\r\n\r\n")
+        r.skip(4.6)  # two empty lines are missing: the watch is asked for anew
+        assert b"from=8 " in source.accept().until(b"\r\n\r\n")
+
+
+@pytest.mark.parametrize(("data", "found"), [
+    ([b"+PONG\r\n"], ["+PONG"]), ([b":7\r\n$3\r\n1.5\r\n"], [7.0, 1.5]), ([b"$1", b"\r", b"\n9\r", b"\n"], [9.0]),
+    ([b"-BUSY\r\n-ERR no\r\n"], ["-BUSY", "-ERR no"]), ([b"*1\r\n"], None), ([b"$-1\r\n"], None),
+    ([b"$1\r\n12\r\n"], None),
+    ([b"$1\r\nx\r\n"], None), ([b"$99999\r\n"], None), ([b"+" + b"x" * 5000], None), ([b":\r\n"], None)])
+def test_counter_answers(data: list[bytes], found: list[Any] | None) -> None:
+    replies = Replies()
+    if found is None:
+        with pytest.raises(ReplyError):
+            [replies.feed(part) for part in data]
+    else:
+        assert [x for part in data for x in replies.feed(part)] == found
+
+
+@pytest.mark.parametrize(("amount", "text"), [(0.0, b"0"), (100.0, b"100"), (-2.5, b"-2.5"), (1e-7, b"0")])
+def test_counter_calls(amount: float, text: bytes) -> None:
+    call = b"*4\r\n$7\r\nCNT.ADD\r\n$1\r\n3\r\n$%d\r\n%s\r\n$1\r\n1\r\n" % (len(text), text)
+    assert encode_call(3, amount, 0.0) == call
+
+
+@pytest.mark.parametrize(("head", "status", "used", "cost", "load"), [
+    (b"200 OK\r\nX-Allowance-Used: 85\r\nX-True-Cost: 3\r\nX-Server-Load: TEXT svc_ms=14.5", "ok", 86, 3.0, [14.5]),
+    (b"200 OK\r\nX-Allowance-Used: x\r\nX-True-Cost: nan\r\nX-Server-Load: TEXT other=1", "ok", 0, 0.0, []),
+    (b"500 No", "error", 0, 0.0, []), (b"503 No", "error", 0, 0.0, []), (b"404 No", "error", 0, 0.0, []),
+    (b"503 No\r\nX-Not-Processed: 1", "full", 0, 0.0, []), (b"504 No\r\nX-Not-Processed: 1", "full", 0, 0.0, [])])
+def test_outcomes(head: bytes, status: str, used: int, cost: float, load: list[float]) -> None:
+    reply = Reply()
+    reply.feed(memoryview(b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n"))
+    end = outcome(reply, ["svc_ms"])
+    assert (end.status, end.used, end.cost, end.load) == (status, used, cost, load) and reply.whole and reply.keep
+
+
+@pytest.mark.parametrize(("data", "whole"), [
+    (b"HTTP/1.1 200 OK\r\n\r\nrest", True), (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nrest", False),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nrest\r\n", False), (b"HTTP/1.1 200", False)])
+def test_an_answer_that_ends_with_its_connection(data: bytes, whole: bool) -> None:
+    reply = Reply()
+    reply.feed(memoryview(data))
+    reply.end()
+    assert reply.whole is whole and not reply.keep
+
+
+@pytest.mark.parametrize("data", [b"nonsense", b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000,
+                                  b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000])
+def test_an_answer_that_is_none(data: bytes) -> None:
+    with pytest.raises(Malformed):
+        Reply().feed(memoryview(data))
+
+
+@pytest.mark.parametrize("step", [1, 3, 1000])
+def test_messages_in_any_pieces(step: int) -> None:
+    reader = Reader()
+    data = b"POST /a/1 HTTP/1.1\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabcGET /b/2?x HTTP/1.1\r\n\r\n"
+    for at in range(0, len(data), step):
+        reader.feed(memoryview(data[at:at + step]))
+    found = [(p.method, p.target, p.body) for p in reader.whole]
+    assert found == [(b"POST", b"/a/1", b"abc"), (b"GET", b"/b/2?x", b"")]
+
+
+def test_a_fault_keeps_what_came_whole_before_it() -> None:
+    reader = Reader()
+    with pytest.raises(Fault):
+        reader.feed(memoryview(b"GET /b/2 HTTP/1.1\r\n\r\nnonsense\r\n"))
+    assert len(reader.whole) == 1
+
+
+def run(config: Any, tmp_path: Any, *args: str) -> subprocess.CompletedProcess[str]:
+    path = tmp_path / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return subprocess.run([sys.executable, "-m", "brackenpulley", *args], capture_output=True, text=True, timeout=60,
+                          env={**os.environ, "BALANCER_CONFIG": str(path)})
+
+
+GOOD = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964", "settings": SETTINGS}
+
+
+@pytest.mark.parametrize(("change", "field"), [
+    ({"listen": "here"}, "listen: "), ({"discovery": ""}, "discovery: "), ({"counter": None}, "counter: "),
+    ({"seed": "xyz"}, "seed: "), ({"settings": 3}, "settings: "), ({"limits": {"sockets": 3}}, "limits.sockets: "),
+    ({"settings": {**SETTINGS, "Classes": []}}, "settings.classes: "),
+    ({"settings": {k: v for k, v in SETTINGS.items() if k != "Limits"}}, "settings.Limits: "),
+    (None, "BALANCER_CONFIG: ")])
+def test_a_bad_configuration_is_named_in_one_line(change: Any, field: str, tmp_path: Any) -> None:
+    done = run("{" if change is None else {**GOOD, **change}, tmp_path, "serve")
+    assert done.returncode == 2 and done.stderr.startswith("brackenpulley: " + field) and done.stderr.count("\n") == 1
+
+
+def test_the_commands(tmp_path: Any) -> None:
+    assert "1 classes" in run(GOOD, tmp_path, "check-config").stdout
+    assert run(GOOD, tmp_path, "version").stdout.startswith("brackenpulley ")
+
+
+def test_sigterm_ends_the_program_with_its_counters_told(tmp_path: Any) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GOOD))
+    child = subprocess.Popen([sys.executable, "-m", "brackenpulley", "serve"], stdout=subprocess.PIPE, text=True,
+                             env={**os.environ, "BALANCER_CONFIG": str(path)})
+    assert child.stdout is not None
+    line = next(x for x in child.stdout if "event=listening" in x)
+    port = int(line.strip().rsplit(":", 1)[1])
+    with socket.create_connection(("127.0.0.1", port)) as sock:
+        sock.sendall(b"GET /ready HTTP/1.1\r\n\r\n")
+        assert sock.recv(100).startswith(b"HTTP/1.1 503")  # nothing has been listed
+        child.send_signal(signal.SIGUSR1)
+        assert any("event=counters" in x and "accepted=1" in x for x in child.stdout)
+        child.send_signal(signal.SIGTERM)
+        rest = child.stdout.read()
+    assert child.wait(30) == 0 and "event=counters" in rest
+
+
