Speak external authorisation over gRPC, as server and client, on the same core

Server: Check calls become messages, the module decides, an OK names the chosen endpoint, a back-off answer is a denial with 429 or 503 and Retry-After; the attempt's end is closed as 'cancelled', the one outcome that neither judges the server nor learns a latency. Client: a verdict before the module hears of the message; a denial is final and takes no quota; without a verdict the operator's setting holds. Endpoints in xDS form from a file as a second source of the inventory. All off without deploy/operator.toml's like, and imported only when on.

--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -9,7 +9,8 @@
 
 import typer
 
-from .config import Config, ConfigError, load
+from .address import ConfigError
+from .config import Config, load
 
 VERSION = "0.2.0"
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -17,29 +18,33 @@
 Path = Annotated[str, typer.Option("--config", help="The configuration; else the file that BALANCER_CONFIG names.")]
 
 
-def _load(path: str) -> Config:
+Extra = Annotated[str, typer.Option("--operator", envvar="BALANCER_OPERATOR",
+                                    help="The operator's file, for what is off by default.")]
+
+
+def _load(path: str, operator: str) -> Config:
     path = path or os.environ.get("BALANCER_CONFIG", "")
     try:
         if not path:
             raise ConfigError("BALANCER_CONFIG: not set, and no --config given")
-        return load(path)
+        return load(path, operator)
     except ConfigError as error:
         print(f"brackenpulley: {error}", file=sys.stderr)
         raise typer.Exit(2) from None
 
 
 @app.command()
-def serve(config: Path = "") -> None:
+def serve(config: Path = "", operator: Extra = "") -> None:
     """Serve in the foreground until SIGTERM."""
-    told = _load(config)
+    told = _load(config, operator)
     from .serve import serve as run
     run(told)
 
 
 @app.command("check-config")
-def check_config(config: Path = "") -> None:
+def check_config(config: Path = "", operator: Extra = "") -> None:
     """Read the configuration and say whether it can be used."""
-    told = _load(config)
+    told = _load(config, operator)
     print(f"{told.name}: {len(told.settings.classes)} classes, {len(told.settings.plans)} plans, "
           f"listens at {told.listen[0]}:{told.listen[1]}")
 
--- a/brackenpulley/config.py
+++ b/brackenpulley/config.py
@@ -2,34 +2,18 @@
 
 from __future__ import annotations
 
-import ipaddress
 import json
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from .address import Address, ConfigError, address
+from .operator import Operator
+from .operator import load as load_operator
 from .policy import interface as i
 from .settings import JSON, Transport, settings, transport
 
-Address = tuple[str, int]
-
-
-class ConfigError(ValueError):
-    """The message starts with the field's name."""
-
-
-def address(text: Any, name: str) -> Address:
-    """'127.0.0.4:8000' or '[::1]:8000'; names are not looked up."""
-    host, _, port = str(text).rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        if not 0 <= int(port) <= 65535:
-            raise ValueError
-    except ValueError:
-        raise ConfigError(f"{name}: {text!r} is no address:port") from None
-    return host.strip("[]"), int(port)
-
 
 @dataclass(slots=True)
 class Config:
@@ -42,6 +26,7 @@
     known: JSON
     settings: i.Settings
     transport: Transport
+    operator: Operator
 
 
 def _object(value: Any, name: str) -> JSON:
@@ -50,7 +35,7 @@
     return value
 
 
-def decode(raw: Any, env: Mapping[str, str]) -> Config:
+def decode(raw: Any, env: Mapping[str, str], operator: Operator | None = None) -> Config:
     raw = _object(raw, "configuration")
 
     def told(variable: str, key: str) -> Any:
@@ -75,15 +60,16 @@
         raise ConfigError(f"seed: {raw['seed']!r} is not hexadecimal") from None
     if rules.counter and not raw.get("counter"):
         raise ConfigError("counter: missing, and the settings allow counting")
-    xds = bool(raw.get("xds"))  # the operator's file names a source of its own
+    operator = operator or Operator()
     return Config(
         name=str(told("BALANCER_NAME", "name")), listen=address(told("BALANCER_LISTEN", "listen"), "listen"),
-        discovery=None if xds else address(told("BALANCER_DISCOVERY", "discovery"), "discovery"),
+        discovery=None if operator.xds else address(told("BALANCER_DISCOVERY", "discovery"), "discovery"),
         counter=address(raw["counter"], "counter") if raw.get("counter") else None,
-        seed=seed, sockets=sockets, known=_object(raw.get("known", {}), "known"), settings=rules, transport=conns)
+        seed=seed, sockets=sockets, known=_object(raw.get("known", {}), "known"), settings=rules, transport=conns,
+        operator=operator)
 
 
-def load(path: str, env: Mapping[str, str] | None = None) -> Config:
+def load(path: str, operator: str = "", env: Mapping[str, str] | None = None) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
@@ -91,4 +77,4 @@
         raise ConfigError(f"BALANCER_CONFIG: {path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"BALANCER_CONFIG: {path}: not JSON: {error}") from None
-    return decode(raw, os.environ if env is None else env)
+    return decode(raw, os.environ if env is None else env, load_operator(operator) if operator else None)
--- a/brackenpulley/net/counter.py
+++ b/brackenpulley/net/counter.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..config import Address
+from ..address import Address
 from ..metrics import Metrics
 from ..policy import interface as i
 from .loop import READ, WRITE, Loop, Timer
--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from ..config import Address, ConfigError, address
+from ..address import Address, ConfigError, address
 from ..metrics import Metrics
 from ..policy import interface as i
 from .loop import READ, WRITE, Loop, Timer
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from ..config import Address
+from ..address import Address
 from ..core.exchange import Answer, Exchange, South
 from ..core.ingress import Ingress
 from ..core.message import Message, MessageError, decode
@@ -326,11 +326,8 @@
     def _answer(self, client: Client, serial: int, answer: Answer) -> None:
         if client in self.clients and client.busy and client.serial == serial:
             client.exchange = None
-            if answer.kind == "served":
-                body, headers = answer.payload
-                self._reply(client, 200, body, 0.0, headers)
-            else:
-                self._reply(client, answer.status, b"", answer.after)
+            body, headers = answer.payload or (b"", None)
+            self._reply(client, answer.status, body, answer.after, headers)
 
     def _reply(self, client: Client, status: int, body: bytes = b"", after: float = 0.0,
                headers: list[tuple[bytes, bytes]] | None = None) -> None:
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from ..config import Address
+from ..address import Address
 from ..core.exchange import RelayEnd
 from ..core.message import Message
 from ..metrics import Metrics
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -57,9 +57,31 @@
                                config.transport.idle, config.transport.connect, config.transport.fields)
         self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, sockets * 3 // 5,
                            self.ready)
-        self.discovery: Discovery | None = None
+        self.discovery: Any = None
+        self.front: Any = None
+        self.authoriser: Any = None
+        self._extras()
         self.ending = False
 
+    def _extras(self) -> None:
+        """What the operator's file switches on; its libraries are loaded only here."""
+        told = self.config.operator
+        if told.server is not None:
+            from .authz.front import Front
+            self.front = Front(self.loop, self.pool, self.ingress, self.inventory, self.metrics,
+                               told.server.header, told.server.streams)
+        if told.client is not None:
+            from .authz.client import AuthorisationClient
+            self.authoriser = AuthorisationClient(self.loop, self.pool, told.client.at, told.client.timeout,
+                                                  self.metrics)
+            self.ingress.authoriser, self.ingress.fail_open = self.authoriser, told.client.fail_open
+        if told.xds is not None:
+            from .xds.source import FileSource
+            self.discovery = FileSource(self.loop, self.inventory, told.xds, self.metrics, self.log)
+        elif self.config.discovery is not None:
+            self.discovery = Discovery(self.loop, self.pool, self.inventory, self.config.discovery, self.metrics,
+                                       self.log)
+
     def ready(self) -> bool:
         told = self.discovery is None or self.discovery.heard or self.clock() - self.born > KNOWN_ENOUGH
         return told and self.ingress.listed and len(self.inventory) > 0
@@ -70,15 +92,16 @@
                 self.inventory.told(self.config.known, stale=True)
             except (ValueError, TypeError) as error:  # an old list is a help, not a need
                 self.log.error("known", error=str(error))
-        if self.config.discovery is not None:
-            self.discovery = Discovery(self.loop, self.pool, self.inventory, self.config.discovery, self.metrics,
-                                       self.log)
+        if self.discovery is not None:
             self.discovery.start()
         if signals:
             self.loop.on_signal(signal.SIGTERM, self.end)
             self.loop.on_signal(signal.SIGINT, self.end)
             self.loop.on_signal(signal.SIGUSR1, self.report)
         at = self.north.listen(self.config.listen)
+        if self.front is not None:
+            checks = self.front.listen(self.config.operator.server.listen)  # type: ignore[union-attr]
+            self.log.info("answering checks", address=f"{checks[0]}:{checks[1]}")
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
 
     def report(self) -> None:
@@ -93,11 +116,13 @@
 
     def _close_doors(self) -> None:
         self.north.stop_listening()
+        if self.front is not None:
+            self.front.drain()
         self._finish()
 
     def _finish(self) -> None:
         self.north.close_unused()
-        if self.north.clients or self.ingress.held:
+        if self.north.clients or self.ingress.held or self.front is not None and self.front.peers:
             self.loop.call_in(0.02, self._finish)
         else:
             self.loop.stop()
@@ -115,6 +140,10 @@
     def close(self) -> None:
         """Give everything back: each part closes what it owns, the loop last."""
         self.north.stop()
+        if self.front is not None:
+            self.front.stop()
+        if self.authoriser is not None:
+            self.authoriser.stop()
         self.south.stop()
         if self.counter is not None:
             self.counter.stop()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,6 +12,7 @@
 import structlog
 
 from brackenpulley.config import decode
+from brackenpulley.operator import decode as operator_of
 from brackenpulley.serve import Daemon
 
 from .test_link import SETTINGS
@@ -102,8 +103,9 @@
 
 
 class Rig:
-    def __init__(self, servers: int = 1, counter: bool = False, effect: str = "free", **config: Any) -> None:
-        self.skipped = 0.0
+    def __init__(self, servers: int = 1, counter: bool = False, effect: str = "free", operator: Any = None,
+                 **config: Any) -> None:
+        self.skipped, self.frozen = 0.0, 0.0
         self.peers = {f"s-{n}": Peer(self) for n in range(servers)}
         told: dict[str, Any] = copy.deepcopy(SETTINGS)
         told["Classes"][0].update(Objective=8.0, GiveUp=20.0, Idempotency=effect, Group="all", Window=4.0)
@@ -112,12 +114,13 @@
         self.counter = Peer(self)
         raw = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": self.counter.at,
                "settings": told, "known": self.listing(), **config}
-        conf = decode(raw, {})
+        conf = decode(raw, {}, operator_of(operator or {}))
         if "discovery" not in config:
             conf.discovery = None
         start = time.time() - time.monotonic()
         self.log = structlog.wrap_logger(structlog.PrintLogger())
-        self.daemon = Daemon(conf, self.log, lambda: start + time.monotonic() + self.skipped)
+        self.daemon = Daemon(conf, self.log, 
+                             lambda: start + (self.frozen or time.monotonic()) + self.skipped)
         self.daemon.start(signals=False)
         listener = self.daemon.north.listener
         assert listener is not None
@@ -143,6 +146,14 @@
         for _ in range(3):
             self.turn()
 
+    def freeze(self) -> None:
+        """From now on the ingress's clock moves by `skip` and `step` alone."""
+        self.frozen = time.monotonic()
+
+    def step(self, seconds: float) -> None:
+        self.skipped += seconds
+        self.daemon.loop.turn(0)
+
     def client(self) -> Wire:
         return Wire(self, socket.create_connection(self.at))
 
--- /dev/null
+++ b/tests/test_authz.py
@@ -0,0 +1,382 @@
+"""External authorisation over gRPC: grpcio is the independent client and the stand-in authoriser."""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Iterator
+from concurrent import futures
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import grpc
+import pytest
+from envoy.config.core.v3 import base_pb2
+from envoy.service.auth.v3 import external_auth_pb2, external_auth_pb2_grpc
+from envoy.type.v3 import http_status_pb2
+from google.rpc import status_pb2
+
+from brackenpulley.address import ConfigError
+from brackenpulley.authz import http2
+from brackenpulley.authz.convert import verdict_of
+from brackenpulley.authz.front import timeout
+from brackenpulley.core.message import MessageError
+from brackenpulley.operator import ClientPart, Operator, decode, load
+
+from .rig import Rig, rig
+from .test_platform import OK
+
+CheckRequest, CheckResponse = external_auth_pb2.CheckRequest, external_auth_pb2.CheckResponse
+SERVER = {"authz": {"server": {"listen": "127.0.0.1:0"}}}
+
+
+def check(number: int = 1, left: str = "9000m", **headers: str) -> Any:  # header names with _ for -
+    request = CheckRequest()
+    http = request.attributes.request.http
+    http.id, http.method, http.path = f"{number:016x}", "GET", "/a/0000000000000007"
+    found = {"x-request-id": f"{number:016x}", "x-priority-class": "a", "x-tariff": "p", "x-timeout": left, **headers}
+    for name, value in found.items():
+        if value:
+            http.headers[name.replace("_", "-")] = value
+    return request
+
+
+@contextmanager
+def asker(r: Rig, count: int = 1) -> Iterator[Any]:
+    assert r.daemon.front is not None and r.daemon.front.listener is not None
+    port = r.daemon.front.listener.getsockname()[1]
+    options = (("grpc.use_local_subchannel_pool", 1),)
+    with grpc.insecure_channel(f"127.0.0.1:{port}", options) as channel:
+        yield external_auth_pb2_grpc.AuthorizationStub(channel)
+
+
+def result(r: Rig, call: Any) -> Any:
+    """The response of a call, or the error that it ended with."""
+    r.until(call.done)
+    return call.exception() or call.result()
+
+
+def test_ok_names_the_endpoint_and_the_attempt_is_closed_neutrally() -> None:
+    with rig(operator=SERVER) as r, asker(r) as stub:
+        before = r.daemon.ingress.gateway.loops["a"].mean
+        reply = result(r, stub.Check.future(check(), timeout=5))
+        assert reply.status.code == 0
+        header = reply.ok_response.headers[0].header
+        assert (header.key, header.value) == ("x-envoy-original-dst-host", r.peers["s-0"].at)
+        gateway = r.daemon.ingress.gateway
+        assert not gateway.reqs and not gateway.servers["s-0"].out and gateway.loops["a"].mean == before
+        assert not r.daemon.ingress.held and r.peers["s-0"].connected() is None
+
+
+def test_one_quota_is_spent_over_both_fronts() -> None:
+    with rig(operator=SERVER) as r, asker(r) as stub:  # the plan's burst is 10 units
+        client = r.ask(1, more="X-Weight: units=4\r\n")  # customer 1, by the platform's protocol
+        _, server = r.served()
+        server.answer()
+        server.send(OK)  # its true cost is 3
+        assert client.answer()[0] == 200
+        request = check(2, x_weight="units=6")
+        request.attributes.request.http.path = "/a/0000000000000001"
+        assert result(r, stub.Check.future(request, timeout=5)).status.code == 0
+        request = check(3, x_weight="units=6")
+        request.attributes.request.http.path = "/a/0000000000000001"
+        denied = result(r, stub.Check.future(request, timeout=5))
+        assert denied.status.code == http2.RESOURCE_EXHAUSTED and denied.denied_response.status.code == 429
+        after = {h.header.key: h.header.value for h in denied.denied_response.headers}["retry-after"]
+        assert 0 < float(after) <= 2.0
+        other = r.ask(0x10)  # another customer has a quota of its own
+        r.until(lambda: r.count("relays") == 3)
+        other.close()
+
+
+@pytest.mark.parametrize(("request_", "status"), [
+    (check(left="soon"), grpc.StatusCode.INVALID_ARGUMENT),
+    (check(x_weight="units=x"), grpc.StatusCode.INVALID_ARGUMENT), (CheckRequest(), grpc.StatusCode.INVALID_ARGUMENT)])
+def test_malformed_checks(request_: Any, status: Any) -> None:
+    with rig(operator=SERVER) as r, asker(r) as stub:
+        assert result(r, stub.Check.future(request_, timeout=5)).code() == status
+        assert result(r, stub.Check.future(check(9), timeout=5)).status.code == 0
+
+
+def raw(r: Rig, method: str, data: bytes, **more: Any) -> Any:
+    assert r.daemon.front is not None and r.daemon.front.listener is not None
+    channel = grpc.insecure_channel(f"127.0.0.1:{r.daemon.front.listener.getsockname()[1]}",
+                                    (("grpc.use_local_subchannel_pool", 1),))
+    call = channel.unary_unary(method, request_serializer=bytes, response_deserializer=bytes).future(
+        data, timeout=5, **more)
+    found = result(r, call)
+    channel.close()
+    return found
+
+
+CHECK = "/envoy.service.auth.v3.Authorization/Check"
+
+
+@pytest.mark.parametrize(("method", "data", "more", "status"), [
+    ("/other.Service/Check", b"", {}, grpc.StatusCode.UNIMPLEMENTED),
+    (CHECK, b"\xff\xff\xff", {}, grpc.StatusCode.INVALID_ARGUMENT),
+    (CHECK, b"x" * (200 << 10), {}, grpc.StatusCode.RESOURCE_EXHAUSTED),
+    (CHECK, check().SerializeToString(), {"compression": grpc.Compression.Gzip}, grpc.StatusCode.UNIMPLEMENTED)])
+def test_errors_have_their_grpc_status(method: str, data: bytes, more: Any, status: Any) -> None:
+    with rig(operator=SERVER) as r:
+        assert raw(r, method, data, **more).code() == status
+        assert r.daemon.front is not None and r.daemon.front.buffered == 0
+
+
+def test_a_draining_endpoint_is_not_named() -> None:
+    with rig(2, operator=SERVER) as r, asker(r) as stub:
+        r.daemon.inventory.told(r.listing(s_0="DRAINING"))
+        names = {result(r, stub.Check.future(check(n), timeout=5)).ok_response.headers[0].header.value
+                 for n in range(1, 7)}
+        assert names == {r.peers["s-1"].at}
+
+
+def test_an_end_finishes_what_is_held_and_turns_new_calls_away() -> None:
+    with rig(operator={**STALLED, **{"authz": {**STALLED["authz"], **SERVER["authz"]}}}) as r, asker(r) as stub:
+        quiet = r.counter  # accepts and says nothing: the authoriser stalls
+        r.daemon.authoriser.at = ("127.0.0.1", int(quiet.at.rpartition(":")[2]))
+        call = stub.Check.future(check(1), timeout=8)
+        r.until(lambda: bool(r.daemon.ingress.held))
+        r.daemon.loop.running = True
+        r.daemon.end()
+        r.skip(0.6)
+        assert r.daemon.loop.running and not call.done()
+        r.skip(6.0)
+        assert result(r, call).denied_response.status.code == 503
+        r.until(lambda: r.daemon.front.peers == set())
+        r.skip(0.1)
+        assert not r.daemon.loop.running
+
+
+STALLED: dict[str, Any] = {"authz": {"client": {"address": "127.0.0.1:1", "timeout_ms": 5000}}}
+
+
+class Authoriser(external_auth_pb2_grpc.AuthorizationServicer):  # type: ignore[misc]
+    """The stand-in: answers after a delay, or as told."""
+
+    def __init__(self, delay: float, reply: Any) -> None:
+        self.reply, self.seen, self.over = reply, list[Any](), threading.Event()
+        self.delay = delay
+        self.cancelled = threading.Event()
+
+    def Check(self, request: Any, context: Any) -> Any:
+        self.seen.append(request)
+        context.add_callback(lambda: self.cancelled.set() if not context.code() else None)
+        if self.delay:  # until the test says that it is over
+            self.over.wait(60)
+        if isinstance(self.reply, grpc.StatusCode):
+            context.abort(self.reply, "no")
+        return self.reply
+
+
+@contextmanager
+def authorised(delay: float = 0.0, reply: Any = None, timeout_ms: int = 10_000, on_failure: str = "deny",
+               **more: Any) -> Iterator[tuple[Rig, Authoriser]]:
+    stand_in = Authoriser(delay, CheckResponse() if reply is None else reply)
+    server = grpc.server(futures.ThreadPoolExecutor(4))
+    external_auth_pb2_grpc.add_AuthorizationServicer_to_server(stand_in, server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    server.start()
+    part = {"address": f"127.0.0.1:{port}", "timeout_ms": timeout_ms, "on_failure": on_failure}
+    try:
+        with rig(operator={"authz": {"client": part}}, **more) as r:
+            yield r, stand_in
+    finally:
+        stand_in.over.set()
+        server.stop(None).wait()
+
+
+def denial(status: int) -> Any:
+    reply = CheckResponse(status=status_pb2.Status(code=7))
+    reply.denied_response.status.CopyFrom(http_status_pb2.HttpStatus(code=status))
+    reply.denied_response.body = "not you"
+    reply.denied_response.headers.append(base_pb2.HeaderValueOption(
+        header=base_pb2.HeaderValue(key="x-why", value="because")))
+    return reply
+
+
+def test_a_denial_is_final_and_takes_no_quota() -> None:
+    with authorised(reply=denial(403)) as (r, stand_in):
+        status, head, body = r.ask(1).answer()
+        assert (status, body) == (403, b"not you") and b"x-why: because" in head
+        assert not r.daemon.ingress.gateway.customers and r.count("relays") == 0
+        http = stand_in.seen[0].attributes.request.http
+        assert (http.id, http.method, http.path) == (f"{1:016x}", "GET", f"/a/{1:016x}?q=1")
+        assert http.headers["x-priority-class"] == "a"
+
+
+def test_an_allowed_message_goes_on_with_the_headers_that_were_added() -> None:
+    reply = CheckResponse()
+    for key, value in (("x-member", "firm-7"), ("x-request-id", "forged"), ("x-bad", "a\r\nx-evil: 1")):
+        reply.ok_response.headers.append(base_pb2.HeaderValueOption(
+            header=base_pb2.HeaderValue(key=key, value=value)))
+    reply.ok_response.headers_to_remove.append("x-tariff")
+    with authorised(reply=reply) as (r, _):
+        client = r.ask(1)
+        _, server = r.served()
+        _, head, _ = server.answer()
+        assert b"x-member: firm-7\r\n" in head and b"evil" not in head and b"x-tariff" not in head
+        assert b"x-request-id: 0000000000000001\r\n" in head  # guards the id that the client sent
+        server.send(OK)
+        assert client.answer()[0] == 200
+
+
+# load-sim: a deadline of 4 s, of which a client waits for half up to the whole. The client's own clock is the judge.
+@pytest.mark.parametrize("on_failure", ["deny", "allow"])
+@pytest.mark.parametrize(("delay", "wait"), [(0.0, 2.0), (0.5, 2.0), (1.9, 2.0), (2.5, 2.0), (10.0, 2.0), (10.0, 4.0)])
+def test_however_long_the_authoriser_takes_one_answer_comes_in_time(delay: float, wait: float, on_failure: str) -> None:
+    with authorised(delay, on_failure=on_failure) as (r, stand_in):
+        r.daemon.ingress.gateway.loops["a"].mean = 0.01  # the fleet is known to be quick
+        r.freeze()
+        client = r.ask(1, timeout=f"{int(wait * 1000)}m")
+        r.until(lambda: bool(stand_in.seen))
+
+        def there() -> bool:
+            if wire := r.peers["s-0"].connected():
+                wire.answer()
+                wire.send(OK)
+            return b"\r\n\r\n" in client.seen or not client._more()
+        while r.skipped < min(delay, wait) and not there():
+            r.step(0.01)
+        if r.skipped >= delay:
+            stand_in.over.set()
+        r.until(there)
+        status, _, _ = client.answer()
+        assert r.skipped < wait and status == (200 if delay < wait else 503 if on_failure == "deny" else 429)
+        stand_in.over.set()  # a late reply now comes in, and nobody hears of it
+        client.send(b"GET /ready HTTP/1.1\r\n\r\n")
+        assert client.answer()[0] == 200 and client.seen == b"" and not r.daemon.ingress.held
+
+
+@pytest.mark.parametrize(("on_failure", "status"), [("deny", 503), ("allow", 200)])
+@pytest.mark.parametrize("how", ["unreachable", "broken", "stalled", "status"])
+def test_without_a_verdict_the_operators_setting_holds(how: str, on_failure: str, status: int) -> None:
+    reply = grpc.StatusCode.INTERNAL if how == "status" else None
+    with authorised(60.0 if how == "stalled" else 0.0, reply, 200, on_failure) as (r, _):
+        if how == "unreachable":
+            r.daemon.authoriser.at = ("127.0.0.1", 1)
+        if how == "broken":
+            r.daemon.authoriser.at = r.counter.sock.getsockname()
+        client = r.ask(1)
+        if how == "broken":
+            r.counter.accept().send(b"HTTP/1.1 400 This is no gRPC\r\n\r\n")
+        if status == 200:
+            _, server = r.served()
+            server.answer()
+            server.send(OK)
+        assert client.answer()[0] == status and r.count("verdict_unknown") == 1
+
+
+def test_a_client_gone_before_the_verdict_resets_the_call() -> None:
+    with authorised(60.0) as (r, stand_in):
+        client = r.ask(1)
+        r.until(lambda: bool(stand_in.seen))
+        client.close()
+        r.until(stand_in.cancelled.is_set)
+        assert not r.daemon.ingress.held and r.count("gone") == 1 and not r.daemon.ingress.gateway.customers
+
+
+def test_a_goaway_lets_what_is_out_be_finished_and_the_next_call_goes_elsewhere() -> None:
+    with authorised(60.0) as (r, stand_in):
+        client = r.ask(1)
+        r.until(lambda: bool(stand_in.seen))
+        link = r.daemon.authoriser.link
+        link._going(http2.LAST)
+        second = r.ask(2)
+        r.until(lambda: len(stand_in.seen) == 2)
+        assert r.daemon.authoriser.link is not link and len(r.daemon.authoriser.links) == 2
+        stand_in.over.set()
+        for _ in (client, second):
+            _, server = r.served()
+            server.answer()
+            server.send(OK)
+        assert [w.answer()[0] for w in (client, second)] == [200, 200]
+        r.until(lambda: link.wire.closed)
+
+
+@pytest.mark.parametrize(("text", "seconds"), [("100m", 0.1), ("2S", 2.0), ("1H", 3600.0), ("5u", 5e-6), (None, 10.0),
+                                               ("", None), ("1", None), ("-1S", None), ("123456789m", None)])
+def test_grpc_timeouts(text: str | None, seconds: float | None) -> None:
+    if seconds is None:
+        with pytest.raises(MessageError):
+            timeout(text)
+    else:
+        assert timeout(text) == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize(("data", "kind", "status"), [
+    (b"", "allow", 0), (b"\xff", None, 0), (denial(401).SerializeToString(), "deny", 401),
+    (denial(200).SerializeToString(), "deny", 403),
+    (CheckResponse(status=status_pb2.Status(code=7)).SerializeToString(), "deny", 403)])
+def test_verdicts(data: bytes, kind: str | None, status: int) -> None:
+    verdict = verdict_of(data)
+    assert (verdict and verdict.kind) == kind and (not verdict or verdict.status == status)
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"", 3), (b"\0\0\0\0\2a", 3), (b"\0\0\0\0\1ab", 3), (b"\1\0\0\0\1a", 12)])
+def test_framing(data: bytes, status: int) -> None:
+    with pytest.raises(http2.FramingError) as error:
+        http2.unframe(data)
+    assert error.value.status == status
+
+
+def test_the_operators_file_in_deploy_loads() -> None:
+    operator = load(str(Path(__file__).parent.parent / "deploy" / "operator.toml"))
+    assert operator.server and operator.client == ClientPart(("127.0.0.1", 9292), 0.25, False) and operator.xds is None
+
+
+@pytest.mark.parametrize(("raw_", "field"), [
+    ({"authz": 3}, "authz: "), ({"other": {}}, "operator.other: "),
+    ({"authz": {"server": {}}}, "authz.server.listen: "),
+    ({"authz": {"server": {"listen": "x"}}}, "authz.server.listen: "),
+    ({"authz": {"server": {"listen": "127.0.0.1:1", "endpoint_header": "a b"}}}, "authz.server.endpoint_header: "),
+    ({"authz": {"client": {"address": "127.0.0.1:1", "on_failure": "maybe"}}}, "authz.client.on_failure: "),
+    ({"authz": {"client": {"address": "127.0.0.1:1", "timeout_ms": 0}}}, "authz.client.timeout_ms: "),
+    ({"xds": {"path": "x"}}, "xds.cluster: ")])
+def test_a_bad_operators_file_names_the_field(raw_: dict[str, Any], field: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        decode(raw_)
+    assert str(error.value).startswith(field) and decode({}) == Operator()
+
+
+def endpoint(port: int, **more: Any) -> dict[str, Any]:
+    return {"endpoint": {"address": {"socketAddress": {"address": "127.0.0.1", "portValue": port}}}, **more}
+
+
+def discovery(version: str, *endpoints: dict[str, Any]) -> str:
+    kind = "type.googleapis.com/envoy.config."
+    return json.dumps({"versionInfo": version, "resources": [
+        {"@type": kind + "cluster.v3.Cluster", "name": "sims", "type": "EDS",
+         "edsClusterConfig": {"serviceName": "eds"},
+         "transportSocket": {"name": "tls", "typedConfig": {"@type": "type.googleapis.com/not.known.Here"}}},
+        {"@type": kind + "listener.v3.Listener", "name": "passed over"},
+        {"@type": kind + "endpoint.v3.ClusterLoadAssignment", "clusterName": "eds", "endpoints": [
+            {"locality": {"zone": "hall-a"}, "lbEndpoints": list(endpoints)}]}]})
+
+
+def write(path: Path, text: str) -> None:
+    fresh = path.with_suffix(".new")
+    fresh.write_text(text)
+    fresh.replace(path)
+
+
+def test_clusters_and_endpoints_in_xds_form_fill_the_inventory(tmp_path: Path) -> None:
+    path = tmp_path / "eds.json"
+    started = {"filterMetadata": {"brackenpulley": {"startedAtMs": 5000, "cell": 2}}}
+    write(path, discovery("3", endpoint(1, loadBalancingWeight=4, metadata=started),
+                          endpoint(2, healthStatus="DRAINING"), endpoint(3, healthStatus="UNHEALTHY")))
+    with rig(0, known={}, operator={"xds": {"path": str(path), "cluster": "sims"}}) as r:
+        servers = r.daemon.ingress.gateway.servers
+        assert {k: s.e.state for k, s in servers.items()} == {"127.0.0.1:1": "up", "127.0.0.1:2": "draining"}
+        e = servers["127.0.0.1:1"].e
+        assert (e.zone, e.size, e.started, e.cell) == ("hall-a", 4.0, 5.0, 2)
+        write(path, "{")  # what cannot be used leaves the last good list in force
+        r.skip(0.3)
+        assert r.count("xds_errors") == 1 and r.daemon.inventory.usable("127.0.0.1:1")
+        write(path, discovery("4", endpoint(1, healthStatus="DRAINING")))
+        r.skip(0.3)
+        assert not r.daemon.inventory.usable("127.0.0.1:1") and r.daemon.inventory.version == 4
+
+
