Bound what drips in, guard repeated headers, harden the second front; tests of the core

Seen in tables of hostile input: a repeated X-Request-ID was taken from its last copy while both went on; a trailer passed for a header; a head or trailer dripping in was bounded by the time since its last byte, not its first; '0x1' was read as a customer; a long body counted as the next message's head. Lines at fault: Reader and message() in net/north.py, decode() in core/message.py. Second front: streams that cross the limit are refused one by one (h2 would end the connection), a link that swallows calls is not given another. One place now makes sockets (net/sockets.py).

--- a/brackenpulley/authz/client.py
+++ b/brackenpulley/authz/client.py
@@ -14,6 +14,7 @@
 from ..core.exchange import Verdict
 from ..core.message import Message
 from ..metrics import Metrics
+from ..net import sockets
 from ..net.loop import Loop, Timer
 from ..net.pool import Pool
 from . import http2
@@ -28,7 +29,7 @@
 class Ask:
     """One call. `drop` gives it up: its stream is reset, and what still comes for it is not heard."""
 
-    __slots__ = ("client", "data", "until", "done", "wire", "stream", "reply", "timer", "again", "status")
+    __slots__ = ("client", "data", "until", "done", "wire", "stream", "reply", "timer", "again", "status", "sent")
 
     def __init__(self, client: AuthorisationClient, data: bytes, until: float, done: Callable[[Verdict], None]) -> None:
         self.client, self.data, self.until = client, data, until
@@ -39,6 +40,7 @@
         self.timer: Timer | None = None
         self.again = False  # it was turned away unprocessed once and is asked a second time
         self.status = ""
+        self.sent = 0.0
 
     def drop(self) -> None:
         self.done = None
@@ -61,6 +63,7 @@
 
     def send(self, ask: Ask) -> None:
         ask.wire, ask.stream = self, self.wire.h2.get_next_available_stream_id()
+        ask.sent = self.client.loop.clock()
         ask.reply.clear()
         self.asks[ask.stream] = ask
         left = max(1, int(1000 * (ask.until - self.client.loop.clock())))
@@ -162,14 +165,11 @@
                 self.end(ask, UNKNOWN)
             return False
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in self.at[0] else socket.AF_INET, socket.SOCK_STREAM)
-        except OSError:
-            self.metrics.add("out_of_descriptors")
+            sock = sockets.connect(self.at)
+        except OSError as error:
+            self.metrics.add("out_of_descriptors" if sockets.out_of_descriptors(error) else "authoriser_lost")
             self._failed = self.loop.clock()
             return self._connect()
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.connect_ex(self.at)
         self.link = Link(self, sock)
         self.links.add(self.link)
         return True
@@ -196,6 +196,11 @@
 
     def _stalled(self, ask: Ask) -> None:
         self.metrics.add("authoriser_stalled")
+        link = ask.wire
+        if link is not None and link.wire.heard_at <= ask.sent:
+            # Not a word since the call was written: the machine may be gone without saying so, and a connection to it
+            # would swallow every further call. What is out on it may still be answered; new calls open another.
+            link.going = True
         self.end(ask, UNKNOWN)
 
     def end(self, ask: Ask, verdict: Verdict) -> None:
--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from collections.abc import Callable
 
@@ -14,6 +13,7 @@
 from ..core.ingress import Ingress
 from ..core.message import UNITS, Message, MessageError
 from ..metrics import Metrics
+from ..net import sockets
 from ..net.inventory import Inventory
 from ..net.loop import READ, Loop, Timer
 from ..net.pool import Pool
@@ -21,7 +21,7 @@
 from .convert import CHECK, message_of, response_of
 from .http2 import FramingError, Headers, Http2, status_headers, text_of
 
-PEERS = 64  # connections at once
+PEERS = 32  # connections at once
 BUFFERED = 16 << 20  # bytes of messages not yet whole, over all connections
 UNTIMED = 10.0  # s that a call without a deadline may take to come in and to be answered
 NO_ERROR, REFUSED = h2.errors.ErrorCodes.NO_ERROR, h2.errors.ErrorCodes.REFUSED_STREAM
@@ -94,7 +94,7 @@
                 self._forget(call)
 
     def _begin(self, stream: int, headers: dict[str, str]) -> None:
-        if self.refusing:
+        if self.refusing or len(self.calls) >= self.front.streams:
             self.wire.reset(stream, REFUSED)  # not processed: the asker may ask elsewhere
             return
         self.last = max(self.last, stream)
@@ -213,12 +213,7 @@
         self.listener: socket.socket | None = None
 
     def listen(self, at: Address) -> Address:
-        sock = socket.socket(socket.AF_INET6 if ":" in at[0] else socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(at)
-        sock.listen(128)
-        self.listener = sock
+        self.listener = sock = sockets.listen(at, 128)
         self.loop.register(sock, READ, self._acceptable)
         bound = sock.getsockname()
         return bound[0], bound[1]
@@ -226,17 +221,15 @@
     def _acceptable(self, events: int) -> None:
         assert self.listener is not None
         try:
-            sock, _ = self.listener.accept()
+            sock = sockets.accept(self.listener)
         except OSError as error:
-            if error.errno in (errno.EMFILE, errno.ENFILE):
+            if sockets.out_of_descriptors(error):
                 self.metrics.add("out_of_descriptors")
                 self._pause(0.1)
             return
         if len(self.peers) >= PEERS:
             sock.close()
             return
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.peers.add(Peer(self, sock))
 
     def _pause(self, seconds: float) -> None:
--- a/brackenpulley/authz/http2.py
+++ b/brackenpulley/authz/http2.py
@@ -15,6 +15,7 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame
 
+from ..net import sockets
 from ..net.loop import READ, WRITE, Loop
 from ..net.pool import Pool
 
@@ -75,25 +76,27 @@
         self.loop, self.pool, self.sock = loop, pool, sock
         self._heard, self._ended, self._going = heard, ended, going
         self.h2 = h2.connection.H2Connection(h2.config.H2Configuration(client_side=client, header_encoding=None))
+        codes = h2.settings.SettingCodes
         self.h2.local_settings = h2.settings.Settings(client=client, initial_values={
-            h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: streams,
-            h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: 16384,
-            h2.settings.SettingCodes.ENABLE_PUSH: 0})
+            codes.MAX_CONCURRENT_STREAMS: LAST, codes.MAX_HEADER_LIST_SIZE: 16384, codes.ENABLE_PUSH: 0})
         self.h2.initiate_connection()
+        # In force once it is acknowledged: streams that crossed it are turned away one by one by who counts them,
+        # where h2 would end the whole connection.
+        self.h2.update_settings({codes.MAX_CONCURRENT_STREAMS: streams})
+        self.heard_at = loop.clock()
         self._up = not client
         self._in = b""
         self._preface = not client  # the client's opening words are no frame
         self._out = bytearray()
         self._blocked: dict[int, tuple[bytes, Headers | None]] = {}
         self.closed = False
-        self.last = 0  # highest stream that the other side opened
         loop.register(sock, READ if self._up else WRITE, self._event)
         if self._up:
             self.flush()
 
     def _event(self, events: int) -> None:
         if not self._up:
-            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            if sockets.failed(self.sock):
                 self.close()
                 return
             self._up = True
@@ -118,6 +121,7 @@
         if not data:
             self.close()
             return
+        self.heard_at = self.loop.clock()
         try:
             self._take(data)
         except (h2.exceptions.H2Error, ValueError):
@@ -150,8 +154,6 @@
                         self._push(stream)
                 elif isinstance(event, h2.events.StreamReset):
                     self._blocked.pop(event.stream_id, None)
-                elif isinstance(event, h2.events.RequestReceived):
-                    self.last = max(self.last, event.stream_id)
                 self._heard(event)
 
     def send(self, stream: int, headers: Headers, message: bytes | None = None,
--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -4,7 +4,6 @@
 
 import os
 import sys
-from importlib import metadata
 from typing import Annotated
 
 import typer
@@ -52,6 +51,7 @@
 @app.command()
 def version() -> None:
     """Print the version, and those of the libraries it runs on."""
+    from importlib import metadata  # costly to load, and no other command has a use for it
     print(f"brackenpulley {VERSION}")
     for name in ("httptools", "structlog", "typer"):
         print(f"{name} {metadata.version(name)}")
--- a/brackenpulley/core/message.py
+++ b/brackenpulley/core/message.py
@@ -9,6 +9,8 @@
 MARGIN = 0.03  # s kept back of a client's time: it counts from its sending, and our answer has a way to go
 UNITS = {"m": 1e-3, "u": 1e-6, "S": 1.0, "M": 60.0, "H": 3600.0, "n": 1e-9}  # gRPC's letters, of which we use m and u
 LONGEST = 3600.0
+HEX = frozenset("0123456789abcdefABCDEF")
+CONTROL = frozenset(("x-request-id", "x-priority-class", "x-tariff", "x-timeout", "x-weight", "idempotency-key"))
 
 
 class MessageError(ValueError):
@@ -55,10 +57,7 @@
     ident, cls = headers.get("x-request-id", ""), headers.get("x-priority-class") or parts[0]
     if not 0 < len(ident) <= 64 or not ident.isascii() or not ident.isprintable() or " " in ident:
         raise MessageError("x-request-id: missing or not usable")
-    try:
-        customer = int(parts[-1], 16) if parts[-1].isalnum() and len(parts[-1]) <= 16 else -1
-    except ValueError:
-        customer = -1
+    customer = int(parts[-1], 16) if 0 < len(parts[-1]) <= 16 and HEX.issuperset(parts[-1]) else -1
     if not 0 <= customer < 1 << 33:
         raise MessageError("path: the last part names no customer")
     if "x-timeout" not in headers:
--- a/brackenpulley/net/counter.py
+++ b/brackenpulley/net/counter.py
@@ -9,6 +9,7 @@
 from ..address import Address
 from ..metrics import Metrics
 from ..policy import interface as i
+from . import sockets
 from .loop import READ, WRITE, Loop, Timer
 from .pool import Pool
 
@@ -102,7 +103,7 @@
             self.loop.call_soon(lambda: self._end(call, "connect_failed"))
             return
         if self._sock is not None and self._up and not self._out and not self._waiting:
-            if now - self._used > UNUSED or not self._quiet():
+            if now - self._used > UNUSED or sockets.waiting(self._sock) is not None:
                 self._close()
         if self._sock is None and not self._open(now):
             self.loop.call_soon(lambda: self._end(call, "connect_failed"))
@@ -112,27 +113,14 @@
         if self._up:
             self._write()
 
-    def _quiet(self) -> bool:
-        assert self._sock is not None
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
-
     def _open(self, now: float) -> bool:
         if now - self._failed < AGAIN:
             return False
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in self.at[0] else socket.AF_INET, socket.SOCK_STREAM)
+            sock = sockets.connect(self.at)
         except OSError:
             self._failed = now
             return False
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.connect_ex(self.at)
         self._sock, self._up, self._replies, self._part, self._used = sock, False, Replies(), 0, now
         self.loop.register(sock, WRITE, self._event)
         return True
@@ -140,7 +128,7 @@
     def _event(self, events: int) -> None:
         assert self._sock is not None
         if not self._up:
-            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            if sockets.failed(self._sock):
                 self._broken()
                 return
             self._up = True
--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -12,6 +12,7 @@
 from ..address import Address, ConfigError, address
 from ..metrics import Metrics
 from ..policy import interface as i
+from . import sockets
 from .loop import READ, WRITE, Loop, Timer
 from .pool import Pool
 
@@ -103,13 +104,10 @@
         self._line, self._up = b"", False
         self._parser = httptools.HttpResponseParser(self)
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in self.at[0] else socket.AF_INET, socket.SOCK_STREAM)
+            self._sock = sock = sockets.connect(self.at)
         except OSError:
             self.loop.call_in(AGAIN, self.start)
             return
-        sock.setblocking(False)
-        self._sock = sock
-        sock.connect_ex(self.at)
         self.loop.register(sock, WRITE, self._event, urgent=True)
         self._watch_silence()
 
@@ -126,7 +124,7 @@
         assert self._sock is not None
         try:
             if not self._up:
-                if error := self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                if error := sockets.failed(self._sock):
                     raise OSError(error, "connect")
                 self._up = True
                 target = f"/v1/endpoints?watch=1&from={self.inventory.version}" if self._listed else "/v1/endpoints"
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -14,12 +13,14 @@
 from ..address import Address
 from ..core.exchange import Answer, Exchange, South
 from ..core.ingress import Ingress
-from ..core.message import Message, MessageError, decode
+from ..core.message import CONTROL, Message, MessageError, decode
 from ..metrics import Metrics
+from . import sockets
 from .loop import READ, WRITE, Loop
 from .pool import Pool
 
 BODY, HEAD, TARGET = 65536, 16384, 8192  # most bytes of a body, of all headers, of a request's target
+WIRE = 8 * BODY  # and of all it takes on the wire, however it is cut into chunks
 ACCEPTS_A_TURN = 64
 PARTIAL = 10.0  # s for the rest of a message that has begun, and for an answer to be taken
 IDLE = 120.0  # s after which a connection without a message is closed
@@ -42,15 +43,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class Parsed:
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    keep: bool
-
-
 class Fault(Exception):
     """Bytes that get an error answer; carries the status."""
 
@@ -64,7 +56,7 @@
 
     def __init__(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
-        self.whole: deque[Parsed] = deque()
+        self.whole: deque[tuple[Payload, bool]] = deque()  # and whether the connection is kept after it
         self.waits_to_continue = False
         self._clear()
 
@@ -73,11 +65,12 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._parts: list[bytes] = []
-        self._size = self._head = 0
+        self._size = self._fed = 0
         self._headed = False
 
     def feed(self, data: memoryview) -> None:
         """Raises Fault. What came whole before the fault stands in `whole`."""
+        before = len(self.whole)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -87,10 +80,12 @@
             raise Fault(cause.status if isinstance(cause, Fault) else 400) from None
         except httptools.HttpParserError:
             raise Fault(400) from None
-        if self.partial and not self._headed:
-            self._head += len(data)  # httptools keeps an unfinished header to itself, so the bytes fed are counted
-            if self._head > HEAD:
-                raise Fault(431)
+        if self.partial and len(self.whole) == before:
+            # httptools keeps an unfinished header or trailer to itself, so the bytes fed are counted, but for a piece
+            # that also holds the end of the message before: most of it may be that one's body.
+            self._fed += len(data)
+            if self._fed > (WIRE if self._headed else HEAD):
+                raise Fault(413 if self._headed else 431)
 
     def on_message_begin(self) -> None:
         self._clear()
@@ -102,6 +97,8 @@
             raise Fault(431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._headed:  # a trailer: it must not pass for a header
+            return
         self._size += len(name) + len(value)
         if self._size > HEAD:
             raise Fault(431)
@@ -122,20 +119,24 @@
         self._parts.append(part)
 
     def on_message_complete(self) -> None:
-        self.whole.append(Parsed(self._parser.get_method(), self._target, self._headers, b"".join(self._parts),
-                                 self._parser.should_keep_alive()))
+        found = Payload(self._parser.get_method(), self._target, self._headers, b"".join(self._parts))
+        self.whole.append((found, self._parser.should_keep_alive()))
         self.waits_to_continue = False
         self._clear()
 
 
-def message(parsed: Parsed) -> Message:
+def message(payload: Payload) -> Message:
     try:
-        named = {n.decode("ascii"): v.decode("ascii") for n, v in parsed.headers}
-        path = parsed.target.decode("ascii")
+        named: dict[str, str] = {}
+        for name, value in ((n.decode("ascii"), v.decode("ascii")) for n, v in payload.headers):
+            if name in named and name in CONTROL:  # two readers of it could take two different ones
+                raise MessageError(f"{name}: twice")
+            named[name] = value
+        path = payload.target.decode("ascii")
     except UnicodeDecodeError:
         raise MessageError("headers: not ASCII") from None
-    kept = [h for h in parsed.headers if h[0] not in HOP]
-    return decode(named, path, Payload(parsed.method, parsed.target, kept, parsed.body))
+    payload.headers = [h for h in payload.headers if h[0] not in HOP]
+    return decode(named, path, payload)
 
 
 def encode(status: int, body: bytes, keep: bool, after: float = 0.0, headers: list[tuple[bytes, bytes]] | None = None,
@@ -177,16 +178,9 @@
         self.listener: socket.socket | None = None
         self.accepting = False
         self.draining = False
-        self.begin: Callable[[Client, Message], None] = self.take
 
     def listen(self, at: Address) -> Address:
-        family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(at)
-        sock.listen(1024)
-        self.listener = sock
+        self.listener = sock = sockets.listen(at, 1024)
         self._accept_on()
         self.loop.call_in(SWEEP, self._sweep)
         bound = sock.getsockname()
@@ -210,19 +204,17 @@
             if self.listener is None:
                 return
             try:
-                sock, _ = self.listener.accept()
+                sock = sockets.accept(self.listener)
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                if sockets.out_of_descriptors(error):
                     self.metrics.add("out_of_descriptors")
                     if not self._evict():
                         self._accept_off()
                         self.loop.call_in(0.01, self._accept_on)
                         return
                 continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = Client(sock, self.loop.clock())
             self.clients[client] = None
             self.metrics.add("accepted")
@@ -243,10 +235,7 @@
 
     def _spoke(self, client: Client) -> bool:
         """Something has come that is not read yet: closing now would lose a message."""
-        try:
-            return bool(client.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return bool(sockets.waiting(client.sock))
 
     def _event(self, client: Client, events: int) -> None:
         if events & WRITE:
@@ -255,7 +244,7 @@
             self._readable(client)
 
     def _readable(self, client: Client) -> None:
-        buffer = self.pool.take()
+        buffer, partial = self.pool.take(), client.reader.partial
         fault = 0
         try:
             count = client.sock.recv_into(buffer)
@@ -278,7 +267,8 @@
         if client.reader.waits_to_continue and not client.out and not client.busy:
             client.reader.waits_to_continue = False
             self._write(client, b"HTTP/1.1 100 Continue\r\n\r\n")
-        client.since = self.loop.clock()
+        if not client.reader.partial or not partial:  # a message has its time from its first byte, however it drips in
+            client.since = self.loop.clock()
         if not client.busy:
             self._next(client)
         if client.reader.whole and client in self.clients:
@@ -298,24 +288,24 @@
         """One message of this connection; the one before it has been answered."""
         if client not in self.clients or client.busy or not client.reader.whole:
             return
-        parsed = client.reader.whole.popleft()
+        payload, keep = client.reader.whole.popleft()
         client.busy = True
         client.serial += 1
-        client.keep = client.keep and parsed.keep
+        client.keep = client.keep and keep
         del self.clients[client]  # used last: now at the end
         self.clients[client] = None
-        if parsed.method == b"GET" and parsed.target == b"/ready":
+        if payload.method == b"GET" and payload.target == b"/ready":
             self._reply(client, 200 if self.ready() and not self.draining else 503)
             return
         try:
-            asked = message(parsed)
+            asked = message(payload)
         except MessageError as error:
             self.metrics.add("malformed")
             self._reply(client, 400, str(error).encode("ascii", "replace"))
             return
-        self.begin(client, asked)
+        self._take(client, asked)
 
-    def take(self, client: Client, asked: Message) -> None:
+    def _take(self, client: Client, asked: Message) -> None:
         serial = client.serial
         exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south)
         if exchange is None:
--- /dev/null
+++ b/brackenpulley/net/sockets.py
@@ -0,0 +1,60 @@
+"""Sockets as every part here wants them: non-blocking, without delay, addresses never looked up."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+
+from ..address import Address
+
+
+def _new(at: Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET6 if ":" in at[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    return sock
+
+
+def listen(at: Address, backlog: int) -> socket.socket:
+    sock = _new(at)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(at)
+    sock.listen(backlog)
+    return sock
+
+
+def accept(listener: socket.socket) -> socket.socket:
+    sock, _ = listener.accept()
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def connect(at: Address) -> socket.socket:
+    """Begun; it is up, or has failed, once it can be written to. Raises OSError where it fails at once."""
+    sock = _new(at)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    code = sock.connect_ex(at)
+    if code not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise OSError(code, os.strerror(code))
+    return sock
+
+
+def failed(sock: socket.socket) -> int:
+    """Why a connection did not come up; 0 if it did."""
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
+def waiting(sock: socket.socket) -> bytes | None:
+    """A look at what came and is not read yet: None for nothing, b"" for the end."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
+def out_of_descriptors(error: OSError) -> bool:
+    return error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from collections.abc import Callable, Sequence
 
@@ -12,6 +11,7 @@
 from ..core.exchange import RelayEnd
 from ..core.message import Message
 from ..metrics import Metrics
+from . import sockets
 from .inventory import Inventory
 from .loop import READ, WRITE, Loop, Timer
 from .north import HOP, Payload
@@ -195,29 +195,18 @@
         return None
 
     def _quiet(self, conn: Conn) -> bool:
-        try:
-            conn.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False  # it has ended, or says what nobody asked for
+        return sockets.waiting(conn.sock) is None  # else it has ended, or says what nobody asked for
 
     def _open(self, at: Address, now: float) -> Conn | None:
         if self.count >= self.most and not self._evict():
             self.metrics.add("south_full")
             return None
         try:
-            sock = socket.socket(socket.AF_INET6 if ":" in at[0] else socket.AF_INET, socket.SOCK_STREAM)
-        except OSError:
-            self.metrics.add("out_of_descriptors")
-            self._evict()
-            return None
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex(at)
-        if code not in (0, errno.EINPROGRESS):
-            sock.close()
+            sock = sockets.connect(at)
+        except OSError as error:
+            if sockets.out_of_descriptors(error):
+                self.metrics.add("out_of_descriptors")
+                self._evict()
             return None
         conn = Conn(sock, at, now)
         self.count += 1
@@ -234,7 +223,7 @@
 
     def _event(self, conn: Conn, events: int) -> None:
         if not conn.up:
-            if conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            if sockets.failed(conn.sock):
                 self._broken(conn)
                 return
             conn.up = True
--- a/tests/test_authz.py
+++ b/tests/test_authz.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import threading
 from collections.abc import Iterator
 from concurrent import futures
@@ -11,6 +12,10 @@
 from typing import Any
 
 import grpc
+import h2.connection
+import h2.errors
+import h2.events
+import h2.settings
 import pytest
 from envoy.config.core.v3 import base_pb2
 from envoy.service.auth.v3 import external_auth_pb2, external_auth_pb2_grpc
@@ -20,11 +25,11 @@
 from brackenpulley.address import ConfigError
 from brackenpulley.authz import http2
 from brackenpulley.authz.convert import verdict_of
-from brackenpulley.authz.front import timeout
+from brackenpulley.authz.front import Front, timeout
 from brackenpulley.core.message import MessageError
 from brackenpulley.operator import ClientPart, Operator, decode, load
 
-from .rig import Rig, rig
+from .rig import Rig, Wire, rig
 from .test_platform import OK
 
 CheckRequest, CheckResponse = external_auth_pb2.CheckRequest, external_auth_pb2.CheckResponse
@@ -380,3 +385,136 @@
         assert not r.daemon.inventory.usable("127.0.0.1:1") and r.daemon.inventory.version == 4
 
 
+
+
+class H2:
+    """A client of the test's own that misbehaves in ways in which grpcio would not."""
+
+    def __init__(self, r: Rig, window: int = 65535) -> None:
+        assert r.daemon.front is not None and r.daemon.front.listener is not None
+        self.wire = Wire(r, socket.create_connection(r.daemon.front.listener.getsockname()))
+        self.h2, self.events = h2.connection.H2Connection(), list[Any]()
+        self.h2.initiate_connection()
+        self.h2.update_settings({h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: window})
+        self.flush()
+
+    def flush(self) -> None:
+        self.wire.send(self.h2.data_to_send())
+
+    def call(self, stream: int, body: bytes | None, left: str = "5S") -> None:
+        self.h2.send_headers(stream, [
+            (":method", "POST"), (":scheme", "http"), (":path", CHECK), (":authority", "a"),
+            ("content-type", "application/grpc"), ("grpc-timeout", left)])
+        if body is not None:
+            self.h2.send_data(stream, http2.frame(body), end_stream=True)
+        self.flush()
+
+    def until(self, kind: type, stream: int) -> Any:
+        found: list[Any] = []
+
+        def there() -> bool:
+            more = self.wire._more()
+            data, self.wire.seen = self.wire.seen, b""
+            self.events += self.h2.receive_data(data) if data else []
+            self.flush()
+            found.extend(e for e in self.events if isinstance(e, kind) and getattr(e, "stream_id", stream) == stream)
+            return bool(found) or not more
+        self.wire.rig.until(there)
+        assert found, self.events
+        return found[0]
+
+    def status(self, stream: int, kind: type = h2.events.TrailersReceived) -> str:
+        return http2.text_of(self.until(kind, stream).headers)["grpc-status"]
+
+
+def test_a_call_that_comes_in_too_slowly_ends_at_its_deadline() -> None:
+    with rig(operator=SERVER) as r:
+        slow = H2(r)
+        slow.call(1, None, "100m")
+        r.until(lambda: r.count("checks") == 1)
+        r.skip(0.2)
+        assert slow.status(1, h2.events.ResponseReceived) == "4"
+        slow.call(3, check(3).SerializeToString())
+        assert slow.status(3) == "0"
+
+
+def test_an_answer_waits_for_its_window_and_no_longer_than_its_deadline() -> None:
+    with rig(operator=SERVER) as r:
+        tight = H2(r, window=0)
+        tight.call(1, check(1).SerializeToString(), "5S")
+        tight.call(3, check(3).SerializeToString(), "9S")
+        r.until(lambda: r.count("granted") == 2)
+        r.skip(5.1)
+        assert tight.until(h2.events.StreamReset, 1).error_code == h2.errors.ErrorCodes.CANCEL
+        tight.h2.increment_flow_control_window(1000, 3)
+        tight.flush()
+        assert tight.status(3) == "0" and r.daemon.front.peers
+        r.until(lambda: not next(iter(r.daemon.front.peers)).calls)
+
+
+def test_streams_over_the_limit_are_turned_away_one_by_one() -> None:
+    with rig(operator={"authz": {"server": {"listen": "127.0.0.1:0", "max_streams": 1}}}) as r:
+        eager = H2(r)
+        eager.call(1, None)
+        eager.call(3, check(3).SerializeToString())  # before the limit has been heard of
+        assert eager.until(h2.events.StreamReset, 3).error_code == h2.errors.ErrorCodes.REFUSED_STREAM
+        eager.h2.send_data(1, http2.frame(check(1).SerializeToString()), end_stream=True)
+        eager.flush()
+        assert eager.status(1) == "0"
+
+
+def test_after_goaway_new_streams_are_refused_and_old_ones_finished() -> None:
+    with rig(operator=SERVER) as r:
+        asking = H2(r)
+        asking.call(1, None)
+        r.until(lambda: r.count("checks") == 1)
+        r.daemon.front.drain()
+        asking.h2.send_headers(3, [(":method", "POST"), (":scheme", "http"), (":path", CHECK), (":authority", "a")])
+        asking.h2.send_data(1, http2.frame(check(1).SerializeToString()), end_stream=True)
+        asking.flush()
+        asking.wire.ended()
+        frames, _ = http2.split(asking.wire.seen)
+        assert [f[3] for f in frames if f[3] in (3, 7)] == [7, 3]  # GOAWAY, then RST of stream 3
+        assert any(f[3] == 0 and int.from_bytes(f[5:9], "big") == 1 for f in frames)  # stream 1 has its answer
+        assert not r.daemon.front.peers
+
+
+@pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n\r\n" + b"x" * 24,
+                                  b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 20,
+                                  b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\4\1\5\0\0\0\1\xff\xff\xff\xff"])
+def test_what_is_no_http2_ends_its_own_connection_alone(data: bytes) -> None:
+    with rig(operator=SERVER) as r, asker(r) as stub:
+        listener = r.daemon.front.listener
+        assert listener is not None
+        wire = Wire(r, socket.create_connection(listener.getsockname()))
+        assert wire.send(data).ended()
+        assert result(r, stub.Check.future(check(), timeout=5)).status.code == 0
+
+
+def test_a_cancelled_check_gives_up_the_verdict_that_it_waits_for() -> None:
+    with authorised(60.0) as (r, stand_in):
+        d = r.daemon
+        d.front = Front(d.loop, d.pool, d.ingress, d.inventory, d.metrics, "x-endpoint", 8)
+        r.daemon.front.listen(("127.0.0.1", 0))
+        with asker(r) as stub:
+            call = stub.Check.future(check(), timeout=60)
+            r.until(lambda: bool(stand_in.seen))
+            call.cancel()
+            r.until(stand_in.cancelled.is_set)
+        assert r.count("check_cancelled") == 1 and not r.daemon.ingress.held
+
+
+def test_a_link_that_swallows_calls_is_not_given_another() -> None:
+    with authorised(timeout_ms=1000) as (r, stand_in):
+        real, r.daemon.authoriser.at = r.daemon.authoriser.at, r.counter.sock.getsockname()
+        first = r.ask(1)
+        swallowed = r.counter.accept()
+        r.until(lambda: r.count("asks") == 1)
+        r.skip(1.1)
+        assert first.answer()[0] == 503
+        r.daemon.authoriser.at = real
+        second = r.ask(2)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert second.answer()[0] == 200 and len(stand_in.seen) == 1 and swallowed.ended()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from brackenpulley.net import sockets
 from brackenpulley.net.counter import Replies, ReplyError
 from brackenpulley.net.counter import encode as encode_call
 from brackenpulley.net.north import Fault, Reader
@@ -150,10 +151,12 @@
         assert status == 429 and 0 < after <= 2.0 and wires
 
 
-@pytest.mark.parametrize("more", ["X-Priority-Class: zz\r\n", "X-Tariff: zz\r\n"])
-def test_an_unknown_class_or_plan_is_answered(more: str) -> None:
+@pytest.mark.parametrize("head", ["GET /zz/7 HTTP/1.1\r\nX-Tariff: p", "GET /a/7 HTTP/1.1\r\nX-Tariff: zz",
+                                  "GET /a/7 HTTP/1.1\r\nX-Priority-Class: zz\r\nX-Tariff: p"])
+def test_an_unknown_class_or_plan_is_answered(head: str) -> None:
     with rig() as r:
-        assert r.ask(more=more).answer()[0] == 429
+        client = r.client().send(f"{head}\r\nX-Request-ID: 1\r\nX-Timeout: 9000m\r\n\r\n".encode())
+        assert client.answer()[0] == 429
 
 
 HEAD = b"GET /a/1 HTTP/1.1\r\nHost: h\r\n"
@@ -163,6 +166,7 @@
     (b"nonsense\r\n\r\n", 400), (HEAD + b"\r\n", 400), (HEAD + b"X-Request-ID: 1\r\n\r\n", 400),
     (HEAD + b"X-Request-ID: 1\r\nX-Timeout: 4x\r\n\r\n", 400), (b"GET /a/zz HTTP/1.1\r\nX-Request-ID: 1\r\n\r\n", 400),
     (HEAD + b"X-Request-ID: 1\r\nX-Timeout: 4m\r\nX-Weight: units=-1\r\n\r\n", 400),
+    (HEAD + b"X-Request-ID: 1\r\nX-Request-ID: 2\r\nX-Timeout: 4m\r\n\r\n", 400),
     (HEAD + b"Content-Length: 65537\r\n\r\n", 413),
     (HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
     (HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n" + b"x" * 0x8000 + b"\r\n8001\r\n" + b"x" * 0x8001, 413),
@@ -185,6 +189,17 @@
         assert first.answer()[0] == 200
 
 
+def test_a_message_that_drips_in_gets_its_time_from_its_first_byte() -> None:
+    with rig() as r:
+        wire = r.client().send(HEAD)
+        for _ in range(6):
+            r.skip(2.1)
+            if b"408" in wire.seen or not wire._more():
+                break
+            wire.send(b"X: y\r\n")
+        assert wire.answer()[0] == 408 and wire.ended()
+
+
 def test_ready_only_with_a_list() -> None:
     with rig(servers=0) as r:
         assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 503
@@ -202,14 +217,14 @@
 
 def test_running_out_of_descriptors_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
     with rig() as r:
-        real, failed = socket.socket.accept, []
+        real, failed = sockets.accept, []
 
         def accept(sock: Any) -> Any:
             if sock is r.daemon.north.listener and len(failed) < 3:
                 failed.append(1)
                 raise OSError(errno.EMFILE, "no more")
             return real(sock)
-        monkeypatch.setattr(socket.socket, "accept", accept)
+        monkeypatch.setattr(sockets, "accept", accept)
         assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
         assert r.count("out_of_descriptors") == 3
 
@@ -348,10 +363,23 @@
     data = b"POST /a/1 HTTP/1.1\r\nX-A: 1\r\nContent-Length: 3\r\n\r\nabcGET /b/2?x HTTP/1.1\r\n\r\n"
     for at in range(0, len(data), step):
         reader.feed(memoryview(data[at:at + step]))
-    found = [(p.method, p.target, p.body) for p in reader.whole]
+    found = [(p.method, p.target, p.body) for p, _ in reader.whole]
     assert found == [(b"POST", b"/a/1", b"abc"), (b"GET", b"/b/2?x", b"")]
 
 
+def test_a_long_body_does_not_count_as_the_next_ones_head() -> None:
+    reader = Reader()
+    reader.feed(memoryview(b"POST /a/1 HTTP/1.1\r\nContent-Length: 30000\r\n\r\n" + b"x" * 30000 + b"GET /b"))
+    reader.feed(memoryview(b"/2 HTTP/1.1\r\n\r\n"))
+    assert len(reader.whole) == 2
+
+
+def test_a_trailer_does_not_pass_for_a_header() -> None:
+    reader = Reader()
+    reader.feed(memoryview(b"POST /a/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Request-ID: 9\r\n\r\n"))
+    assert [n for n, _ in reader.whole[0][0].headers] == [b"transfer-encoding"]
+
+
 def test_a_fault_keeps_what_came_whole_before_it() -> None:
     reader = Reader()
     with pytest.raises(Fault):
