--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -28,8 +28,12 @@
             raise ConfigError("BALANCER_CONFIG: not set, and no --config given")
         return load(path, operator)
     except ConfigError as error:
-        print(f"brackenpulley: {error}", file=sys.stderr)
-        raise typer.Exit(2) from None
+        raise _fail(error) from None
+
+
+def _fail(error: ConfigError) -> typer.Exit:
+    print(f"brackenpulley: {error}", file=sys.stderr)
+    return typer.Exit(2)
 
 
 @app.command()
@@ -37,7 +41,10 @@
     """Serve in the foreground until SIGTERM."""
     told = _load(config, operator)
     from .serve import serve as run
-    run(told)
+    try:
+        run(told)
+    except ConfigError as error:
+        raise _fail(error) from None
 
 
 @app.command("check-config")
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from .address import Address, ConfigError
 from .config import Config
 from .core.ingress import Ingress
 from .metrics import Metrics
@@ -98,12 +99,19 @@
             self.loop.on_signal(signal.SIGTERM, self.end)
             self.loop.on_signal(signal.SIGINT, self.end)
             self.loop.on_signal(signal.SIGUSR1, self.report)
-        at = self.north.listen(self.config.listen)
-        if self.front is not None:
-            checks = self.front.listen(self.config.operator.server.listen)  # type: ignore[union-attr]
+        at = self._listen("listen", self.north, self.config.listen)
+        if self.front is not None and self.config.operator.server is not None:
+            checks = self._listen("authz.server.listen", self.front, self.config.operator.server.listen)
             self.log.info("answering checks", address=f"{checks[0]}:{checks[1]}")
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
 
+    def _listen(self, name: str, front: Any, at: Address) -> Address:
+        try:
+            bound: Address = front.listen(at)
+        except OSError as error:
+            raise ConfigError(f"{name}: {at[0]}:{at[1]}: {error.strerror}") from None
+        return bound
+
     def report(self) -> None:
         self.log.info("counters", **self.metrics.table())
 
@@ -128,7 +136,6 @@
             self.loop.stop()
 
     def run(self) -> None:
-        self.start()
         gc.collect()
         gc.freeze()  # what lives for ever is never looked at again, so that collections stay short
         try:
@@ -162,4 +169,10 @@
 
 
 def serve(config: Config) -> None:
-    Daemon(config, make_log()).run()
+    """Raises ConfigError where the configuration asks for what this machine does not have."""
+    try:
+        daemon = Daemon(config, make_log())
+        daemon.start()
+    except ImportError as error:
+        raise ConfigError(f"operator: {error.name} is not installed; see requirements-authz.txt") from None
+    daemon.run()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -387,11 +387,11 @@
     assert len(reader.whole) == 1
 
 
-def run(config: Any, tmp_path: Any, *args: str) -> subprocess.CompletedProcess[str]:
+def run(config: Any, tmp_path: Any, *args: str, **env: str) -> subprocess.CompletedProcess[str]:
     path = tmp_path / "config.json"
     path.write_text(config if isinstance(config, str) else json.dumps(config))
     return subprocess.run([sys.executable, "-m", "brackenpulley", *args], capture_output=True, text=True, timeout=60,
-                          env={**os.environ, "BALANCER_CONFIG": str(path)})
+                          env={**os.environ, "BALANCER_CONFIG": str(path), **env})
 
 
 GOOD = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1",
@@ -432,3 +432,19 @@
     assert child.wait(30) == 0 and "event=counters" in rest
 
 
+
+
+def test_an_address_in_use_is_named_in_one_line(tmp_path: Any) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        done = run({**GOOD, "listen": f"127.0.0.1:{taken.getsockname()[1]}"}, tmp_path, "serve")
+    assert done.returncode == 2 and done.stderr.startswith("brackenpulley: listen: ") and done.stderr.count("\n") == 1
+
+
+def test_a_missing_library_is_named_in_one_line(tmp_path: Any) -> None:
+    (tmp_path / "h2.py").write_text("raise ModuleNotFoundError('none', name='h2')")  # as where it is not installed
+    operator = tmp_path / "operator.toml"
+    operator.write_text('[authz.client]\naddress = "127.0.0.1:1"\n')
+    path = f"{tmp_path}{os.pathsep}{os.getcwd()}"
+    done = run(GOOD, tmp_path, "serve", "--operator", str(operator), PYTHONPATH=path)
+    assert done.returncode == 2 and done.stderr.startswith("brackenpulley: operator: h2 ")
+    assert done.stderr.count("\n") == 1
