An attempt given up before its last byte never ran; the core under hostile orders

Found by reading the table of outcomes again: a relay that expired or was cancelled while its connection was still coming up was told as 'timeout' or 'cancelled', which counts as may have run and forbids a keyed message another cell (Ingress._expired, _cancel). It is now 'connect_failed' or 'moot'. Also: a log whose reader is gone cannot end the program; a stateful test of the core; the second front as a process.

--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -49,8 +49,8 @@
         done(RelayEnd("granted" if self.inventory.usable(server) else "connect_failed"))
         return self
 
-    def drop(self) -> None:
-        pass  # its end is reported before start returns
+    def drop(self) -> bool:
+        return False  # its end is reported before start returns
 
 
 class Call:
--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -52,8 +52,8 @@
 
 
 class Relay(Protocol):
-    def drop(self) -> None:
-        """Give up: no end is reported any more."""
+    def drop(self) -> bool:
+        """Give up: no end is reported any more. Tells whether it may have run: its last byte was written."""
 
 
 class South(Protocol):
@@ -110,11 +110,10 @@
         """The relay's end has been taken in; another may go out."""
         self.server = ""
 
-    def drop(self) -> None:
+    def drop(self) -> bool:
         """Give up the relay that is out: its connection is closed and its end is no longer heard."""
-        if self._relay is not None:
-            self._relay.drop()
-            self._relay = None
+        relay, self._relay = self._relay, None
+        return relay is not None and relay.drop()
 
     def answer(self, answer: Answer) -> None:
         if self.final is not None:
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -154,14 +154,15 @@
         self._put(event)
 
     def _expired(self, exchange: Exchange) -> None:
-        exchange.drop()
-        self._ended(exchange, exchange.attempt, RelayEnd("timeout"))
+        # A connection that never came up, or took only a part, proves that the attempt never ran.
+        status = "timeout" if exchange.drop() else "connect_failed"
+        self._ended(exchange, exchange.attempt, RelayEnd(status))
 
     def _cancel(self, a: i.Cancel) -> None:
         exchange = self.held.get(a.id)
         if exchange and exchange.out and exchange.attempt == a.attempt:
-            exchange.drop()
-            self._ended(exchange, a.attempt, RelayEnd("cancelled"))
+            status = "cancelled" if exchange.drop() else "moot"
+            self._ended(exchange, a.attempt, RelayEnd(status))
 
     def _refuse(self, a: i.Refuse) -> None:
         if exchange := self.held.get(a.id):
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -148,13 +148,14 @@
         self.written = False
         self.timer: Timer | None = None
 
-    def drop(self) -> None:
+    def drop(self) -> bool:
         if self.conn is not None:
             conn, self.conn = self.conn, None
             conn.relay = None
             self.south.close(conn)
         if self.timer is not None:
             self.timer.cancel()
+        return self.written
 
 
 class Southside:
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import resource
 import signal
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
@@ -159,12 +161,25 @@
         self.loop.close()
 
 
+class Output:
+    """Standard output for the log. A reader that is gone must not take the ingress with it."""
+
+    def write(self, text: str) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            sys.stdout.write(text)
+
+    def flush(self) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            sys.stdout.flush()
+
+
 def make_log() -> Any:
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
                     structlog.processors.format_exc_info, structlog.processors.LogfmtRenderer(
                         key_order=["timestamp", "level", "event"], bool_as_flag=False)],
-        logger_factory=structlog.PrintLoggerFactory(), cache_logger_on_first_use=True)
+        logger_factory=structlog.PrintLoggerFactory(Output()),  # type: ignore[arg-type]
+        cache_logger_on_first_use=True)
     return structlog.get_logger()
 
 
--- a/tests/test_authz.py
+++ b/tests/test_authz.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 import threading
 from collections.abc import Iterator
 from concurrent import futures
@@ -30,7 +34,7 @@
 from brackenpulley.operator import ClientPart, Operator, decode, load
 
 from .rig import Rig, Wire, rig
-from .test_platform import OK
+from .test_platform import GOOD, OK
 
 CheckRequest, CheckResponse = external_auth_pb2.CheckRequest, external_auth_pb2.CheckResponse
 SERVER = {"authz": {"server": {"listen": "127.0.0.1:0"}}}
@@ -387,6 +391,25 @@
 
 
 
+def test_the_second_front_as_a_process_serves_and_ends_in_order(tmp_path: Path) -> None:
+    path, operator = tmp_path / "config.json", tmp_path / "operator.toml"
+    known = {"generation": 1, "instances": [{"instanceId": "s", "hostPort": "127.0.0.1:9", "lifecycle": "SERVING"}]}
+    path.write_text(json.dumps({**GOOD, "known": known}))
+    operator.write_text('[authz.server]\nlisten = "127.0.0.1:0"\n')
+    child = subprocess.Popen([sys.executable, "-m", "brackenpulley", "serve", "--operator", str(operator)],
+                             stdout=subprocess.PIPE, text=True, env={**os.environ, "BALANCER_CONFIG": str(path)})
+    assert child.stdout is not None
+    line = next(x for x in child.stdout if 'event="answering checks"' in x)
+    with grpc.insecure_channel("127.0.0.1:" + line.strip().rsplit(":", 1)[1]) as channel:
+        stub = external_auth_pb2_grpc.AuthorizationStub(channel)
+        reply = stub.Check(check(), timeout=30)
+        assert reply.ok_response.headers[0].header.value == "127.0.0.1:9"
+        child.send_signal(signal.SIGTERM)
+        assert child.wait(30) == 0
+        assert "granted=1" in child.stdout.read()
+    child.stdout.close()
+
+
 class H2:
     """A client of the test's own that misbehaves in ways in which grpcio would not."""
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,15 +8,18 @@
 from pathlib import Path
 from typing import Any
 
+import hypothesis.strategies as st
 import pytest
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from brackenpulley.core.exchange import Answer, Exchange, ExchangeError, RelayEnd
+from brackenpulley.core.exchange import Answer, Exchange, ExchangeError, RelayEnd, Verdict
 from brackenpulley.core.ingress import Ingress
 from brackenpulley.core.message import Message, MessageError, decode, duration, weight
 from brackenpulley.metrics import Metrics
 from brackenpulley.policy.brain import Gateway
 from brackenpulley.policy.interface import Outcome, Request, SetTimer
 
+from .test_machine import RUN
 from .util import fleet, settings
 
 ROOT = Path(__file__).parent.parent
@@ -27,6 +30,7 @@
 
     def __init__(self) -> None:
         self.now, self.timers, self.ends, self.answers = 1000.0, list[Any](), list[Any](), list[Answer]()
+        self.written = True
 
     def call_at(self, when: float, call: Any) -> Any:
         self.timers.append(call)
@@ -36,7 +40,9 @@
     def add(self, name: int, amount: float, ttl: float) -> None: ...
     def info(self, event: str, **more: Any) -> None: ...
     def exception(self, event: str, **more: Any) -> None: ...
-    def drop(self) -> None: ...
+
+    def drop(self) -> bool:
+        return self.written
 
     def start(self, message: Message, server: str, left: float, done: Any) -> Any:
         self.ends.append(done)
@@ -77,6 +83,24 @@
     assert not ports.answers and not ingress.held and ingress.metrics.counts["relay_cancelled"] == 1
 
 
+@pytest.mark.parametrize(("written", "status"), [(True, "timeout"), (False, "connect_failed")])
+def test_giving_up_tells_whether_it_may_have_run(written: bool, status: str) -> None:
+    ports, ingress = make()
+    ports.written = written
+    ask(ports, ingress)
+    ports.now += 5.0
+    ports.timers[-1]()
+    assert ingress.metrics.counts["relay_" + status] == 1 and len(ports.answers) == 1
+
+
+@pytest.mark.parametrize(("written", "status"), [(True, "cancelled"), (False, "moot")])
+def test_a_client_that_leaves_tells_whether_it_may_have_run(written: bool, status: str) -> None:
+    ports, ingress = make()
+    ports.written = written
+    ingress.leave(ask(ports, ingress))
+    assert ingress.metrics.counts["relay_" + status] == 1 and not ports.answers and not ingress.held
+
+
 @pytest.mark.parametrize("kind", [Request, Outcome])
 def test_a_module_that_fails_still_leaves_an_answer(kind: type) -> None:
     ports, ingress = make()
@@ -135,6 +159,113 @@
         assert (found.customer, found.cls, found.left) == (customer, "check", pytest.approx(0.45))
 
 
+class Hostile(RuleBasedStateMachine):
+    """Any order of messages, ends, leaving clients, verdicts and time: one answer each, one relay out, none kept."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now, self.serial, self.due = 1000.0, 0, list[tuple[float, Any]]()
+        self.out: dict[str, list[Any]] = {}
+        self.answered: dict[str, list[Answer]] = {}
+        self.left: set[str] = set()
+        self.verdicts: dict[str, Any] = {}
+        self.ingress = Ingress(Gateway(settings(), 1, self.now), lambda: self.now, self, self, Metrics(), self)
+        self.ingress.members(fleet(6))
+
+    # The ports.
+    def call_at(self, when: float, call: Any) -> Any:
+        entry = [call]
+        self.due.append((when, entry))
+        return Handle(entry.clear)
+
+    def add(self, name: int, amount: float, ttl: float) -> None: ...
+    def info(self, event: str, **more: Any) -> None: ...
+
+    def exception(self, event: str, **more: Any) -> None:
+        raise AssertionError(event)
+
+    def start(self, message: Message, server: str, left: float, done: Any) -> Any:
+        assert message.id not in self.out, "two relays out"
+        self.out[message.id] = [done]
+        if server == "s0":  # refused before start returns
+            del self.out[message.id]
+            done(RelayEnd("connect_failed"))
+        return Handle(lambda: self.out.pop(message.id, None))
+
+    def ask(self, message: Message, left: float, done: Any) -> Any:
+        self.verdicts[message.id] = done
+        return Handle(lambda: self.verdicts.pop(message.id, None))
+
+    # What happens.
+    @rule(cls=st.sampled_from(["check", "push", "blast", "none"]), left=st.floats(0, 9), asked=st.booleans(),
+          units=st.integers(1, 8))
+    def message(self, cls: str, left: float, asked: bool, units: int) -> None:
+        self.serial += 1
+        rid = str(self.serial)
+        self.ingress.authoriser = self if asked else None
+        self.answered[rid] = []
+        message = Message(rid, cls, "gold", self.serial % 3, left, units, 1, 0, False)
+        exchange = self.ingress.take(message, self.answered[rid].append, self)
+        assert exchange is not None
+        if rid in self.ingress.held:
+            assert self.ingress.take(message, self.answered[rid].append, self) is None
+
+    @rule(pick=st.integers(0, 99), kind=st.sampled_from(["allow", "deny", "unknown"]), open_=st.booleans())
+    def verdict(self, pick: int, kind: str, open_: bool) -> None:
+        if self.verdicts:
+            self.ingress.fail_open = open_
+            self.verdicts.pop(sorted(self.verdicts)[pick % len(self.verdicts)])(Verdict(kind, 403))
+
+    @rule(pick=st.integers(0, 99),
+          status=st.sampled_from(["ok", "error", "full", "reset", "connect_failed", "granted"]))
+    def end(self, pick: int, status: str) -> None:
+        if self.out:
+            done, = self.out.pop(sorted(self.out)[pick % len(self.out)])
+            done(RelayEnd(status, (b"", [])))
+            done(RelayEnd("ok", (b"", [])))  # told a second time: not heard
+
+    @rule(pick=st.integers(0, 99))
+    def leave(self, pick: int) -> None:
+        if self.ingress.held:
+            exchange = self.ingress.held[sorted(self.ingress.held)[pick % len(self.ingress.held)]]
+            self.left.add(exchange.message.id)
+            self.ingress.leave(exchange)
+
+    @rule(step=st.floats(0.01, 4.0))
+    def wait(self, step: float) -> None:
+        self.now += step
+        for entry in [e for when, e in self.due if when <= self.now]:
+            if entry:
+                entry.pop()()
+        self.due = [(when, e) for when, e in self.due if e]
+
+    @invariant()
+    def one_answer_each(self) -> None:
+        for rid, answers in self.answered.items():
+            waits = rid in self.out or rid in self.verdicts
+            assert len(answers) <= 1 and (answers or waits or rid in self.left), rid
+            assert waits == (rid in self.ingress.held), rid
+        assert set(self.ingress.gateway.reqs) <= set(self.out)
+
+
+class Handle:
+    """What a port hands back: it can be cancelled, or dropped."""
+
+    def __init__(self, call: Any) -> None:
+        self._call = call
+
+    def cancel(self) -> None:
+        self._call()
+
+    def drop(self) -> bool:
+        self._call()
+        return True
+
+
+Hostile.TestCase.settings = RUN
+TestHostile = Hostile.TestCase
+
+
 def imports(path: Path) -> set[str]:
     names = set()
     for node in ast.walk(ast.parse(path.read_text())):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -200,6 +200,15 @@
         assert wire.answer()[0] == 408 and wire.ended()
 
 
+def test_a_fault_in_one_callback_ends_nothing_else() -> None:
+    with rig() as r:
+        loop, seen = r.daemon.loop, list[str]()
+        loop.call_soon(lambda: seen.append("before") or 1 / 0)  # type: ignore[func-returns-value]
+        loop.call_in(0.0, lambda: 1 / 0)  # type: ignore[arg-type, return-value]
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+        assert seen and r.daemon.metrics.counts.pop("faults") == 2
+
+
 def test_ready_only_with_a_list() -> None:
     with rig(servers=0) as r:
         assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 503
