--- a/brackenpulley/__init__.py
+++ b/brackenpulley/__init__.py
@@ -1,6 +1,7 @@
-"""brackenpulley: the decisions of a gateway that holds customers to their quotas."""
+"""brackenpulley: an ingress that holds customers to their quotas; the decision module can be embedded alone."""
 
 from .policy.brain import Gateway
 from .policy.interface import Settings
 
+__version__ = "0.2.0"
 __all__ = ["Gateway", "Settings"]
--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -8,10 +8,10 @@
 
 import typer
 
+from . import __version__
 from .address import ConfigError
 from .config import Config, load
 
-VERSION = "0.2.0"
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="An ingress that holds customers to their quotas before a shared fleet of sim servers.")
 Path = Annotated[str, typer.Option("--config", help="The configuration; else the file that BALANCER_CONFIG names.")]
@@ -59,6 +59,6 @@
 def version() -> None:
     """Print the version, and those of the libraries it runs on."""
     from importlib import metadata  # costly to load, and no other command has a use for it
-    print(f"brackenpulley {VERSION}")
+    print(f"brackenpulley {__version__}")
     for name in ("httptools", "structlog", "typer"):
         print(f"{name} {metadata.version(name)}")
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -23,6 +23,7 @@
 WIRE = 8 * BODY  # and of all it takes on the wire, however it is cut into chunks
 ACCEPTS_A_TURN = 64
 PARTIAL = 10.0  # s for the rest of a message that has begun, and for an answer to be taken
+PARTIAL_AT_END = 3.0  # the same after SIGTERM, so that no half message keeps the program from ending in time
 IDLE = 120.0  # s after which a connection without a message is closed
 SWEEP = 2.0
 REASON = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
@@ -380,11 +381,12 @@
     def _sweep(self) -> None:
         """Connections that stand still: half a message, an answer nobody takes, no message for long."""
         now = self.loop.clock()
+        partial = PARTIAL_AT_END if self.draining else PARTIAL
         for client in list(self.clients):
             still = now - client.since
-            if client.out and still > PARTIAL:
+            if client.out and still > partial:
                 self.close(client)
-            elif not client.busy and client.reader.partial and still > PARTIAL:
+            elif not client.busy and client.reader.partial and still > partial:
                 client.busy = True
                 client.keep = client.reading = False
                 self._reply(client, 408)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -260,6 +260,19 @@
         assert not r.daemon.loop.running
 
 
+def test_half_a_message_does_not_keep_the_program_from_ending() -> None:
+    with rig() as r:
+        wire = r.client().send(HEAD)
+        r.until(lambda: any(c.reader.partial for c in r.daemon.north.clients))
+        r.daemon.loop.running = True
+        r.daemon.end()
+        r.skip(0.6)
+        assert r.daemon.loop.running
+        for _ in range(3):
+            r.skip(2.1)
+        assert wire.answer()[0] == 408 and not r.daemon.loop.running
+
+
 def test_the_counter_is_told_and_each_way_it_can_fail_has_its_outcome() -> None:
     with rig(counter=True) as r:
         ends: list[tuple[str, float]] = []
