--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -32,6 +32,7 @@
           503: "Service Unavailable", 504: "Gateway Timeout"}
 HOP = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"te", b"trailer", b"upgrade",
                  b"proxy-connection", b"host", b"expect", b"x-timeout"))
+KEPT = frozenset((b"x-request-id", b"idempotency-key"))  # these pass through whatever else is said
 
 
 @dataclass(slots=True)
@@ -136,7 +137,8 @@
         path = payload.target.decode("ascii")
     except UnicodeDecodeError:
         raise MessageError("headers: not ASCII") from None
-    payload.headers = [h for h in payload.headers if h[0] not in HOP]
+    own = {part.strip().encode() for part in named.get("connection", "").lower().split(",")}  # named as this hop's own
+    payload.headers = [h for h in payload.headers if h[0] not in HOP and (h[0] not in own or h[0] in KEPT)]
     return decode(named, path, payload)
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,11 +27,13 @@
 
 def test_an_answer_passes_unchanged_and_both_connections_are_kept() -> None:
     with rig() as r:
-        client = r.ask(1, method="POST", body=b"in", more="Idempotency-Key: k1\r\n")
+        client = r.ask(1, method="POST", body=b"in", more="Idempotency-Key: k1\r\nX-Hop: 1\r\n"
+                       "Connection: keep-alive, X-Hop, X-Request-ID\r\n")
         _, server = r.served()
         _, head, body = server.answer()
         assert head.startswith(b"POST /a/0000000000000001?q=1 HTTP/1.1\r\n") and body == b"in"
         assert b"x-request-id: 0000000000000001\r\n" in head and b"idempotency-key: k1\r\n" in head
+        assert b"x-hop" not in head  # what the client's Connection names is for this hop alone
         assert b"X-Timeout: 89" in head  # what is left of the 9000m, less the margin
         server.send(OK)
         status, head, body = client.answer()
