--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -181,6 +181,19 @@
         assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
 
 
+def test_a_body_that_waits_to_be_asked_for_is_asked_for() -> None:
+    with rig() as r:
+        client = r.client().send(b"POST /a/1 HTTP/1.1\r\nX-Request-ID: 1\r\nX-Tariff: p\r\nX-Timeout: 9000m\r\n"
+                                 b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        assert client.until(b"\r\n\r\n").startswith(b"HTTP/1.1 100 ")
+        client.send(b"in")
+        _, server = r.served()
+        _, head, body = server.answer()
+        assert body == b"in" and b"expect" not in head
+        server.send(OK)
+        assert client.answer()[0] == 200
+
+
 def test_the_same_id_twice_in_hand_is_a_conflict() -> None:
     with rig() as r:
         first, second = r.ask(1), r.ask(1)
