--- a/brackenpulley/authz/convert.py
+++ b/brackenpulley/authz/convert.py
@@ -13,7 +13,7 @@
 
 from ..core.exchange import Answer, Verdict
 from ..core.message import MARGIN, Message, MessageError, decode
-from ..net.north import HOP, Payload
+from ..net.http import HOP, Payload
 from . import http2
 
 CHECK = "/envoy.service.auth.v3.Authorization/Check"
--- a/brackenpulley/config.py
+++ b/brackenpulley/config.py
@@ -27,6 +27,7 @@
     settings: i.Settings
     transport: Transport
     operator: Operator
+    path: str = ""  # the file it was read from
 
 
 def _object(value: Any, name: str) -> JSON:
@@ -69,12 +70,24 @@
         operator=operator)
 
 
-def load(path: str, operator: str = "", env: Mapping[str, str] | None = None) -> Config:
+def _read(path: str, env: Mapping[str, str], operator: Operator | None) -> Config:
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
     except OSError as error:
         raise ConfigError(f"BALANCER_CONFIG: {path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"BALANCER_CONFIG: {path}: not JSON: {error}") from None
-    return decode(raw, os.environ if env is None else env, load_operator(operator) if operator else None)
+    config = decode(raw, env, operator)
+    config.path = path
+    return config
+
+
+def load(path: str, operator: str = "", env: Mapping[str, str] | None = None) -> Config:
+    return _read(path, os.environ if env is None else env, load_operator(operator) if operator else None)
+
+
+def reload(path: str, operator: Operator) -> Config:
+    """The file that took the old one's place. Its addresses hold, not the variables told at the start."""
+    env = {k: v for k, v in os.environ.items() if k not in ("BALANCER_DISCOVERY", "BALANCER_LISTEN")}
+    return _read(path, env, operator)
--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -18,6 +18,7 @@
 
 STATES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "gone"}
 SILENT = 4.5  # s; an empty line comes every 2 s, so a second one is missing
+UNLISTED = 1.0  # s for a connection to come up, and for the whole list to come
 AGAIN = 0.1  # s before a watch that broke at once is asked for again
 LINE = 1 << 22  # bytes of one line at most
 
@@ -37,9 +38,6 @@
     def address(self, server: str) -> Address | None:
         return self._at.get(server)
 
-    def knows(self, at: Address) -> bool:
-        return at in self._at.values()
-
     def __len__(self) -> int:
         return len(self._state)
 
@@ -111,11 +109,22 @@
         self.loop.register(sock, WRITE, self._event, urgent=True)
         self._watch_silence()
 
+    def move(self, at: Address) -> None:
+        """From now on the list is told elsewhere: all of it is asked for there, at once."""
+        if at == self.at or self._stopped:
+            return
+        self.at, self._listed = at, False
+        self._close()
+        self.start()
+
     def _watch_silence(self) -> None:
-        self._silence = self.loop.call_at(self._last + SILENT, self._silent)
+        self._silence = self.loop.call_at(self._last + self._patience(), self._silent)
+
+    def _patience(self) -> float:
+        return SILENT if self._up and self._listed else UNLISTED
 
     def _silent(self) -> None:
-        if self.loop.clock() - self._last >= SILENT:
+        if self.loop.clock() - self._last >= self._patience():
             self._broken("silent")
         else:
             self._watch_silence()
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -3,156 +3,24 @@
 from __future__ import annotations
 
 import socket
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
-import httptools
-
 from ..address import Address
 from ..core.exchange import Answer, Exchange, South
 from ..core.ingress import Ingress
-from ..core.message import CONTROL, Message, MessageError, decode
+from ..core.message import Message, MessageError
 from ..metrics import Metrics
 from . import sockets
 from .loop import READ, WRITE, Loop
 from .pool import Pool
+from .requests import Fault, Reader, encode, message
 
-BODY, HEAD, TARGET = 65536, 16384, 8192  # most bytes of a body, of all headers, of a request's target
-WIRE = 8 * BODY  # and of all it takes on the wire, however it is cut into chunks
 ACCEPTS_A_TURN = 64
 PARTIAL = 10.0  # s for the rest of a message that has begun, and for an answer to be taken
 PARTIAL_AT_END = 3.0  # the same after SIGTERM, so that no half message keeps the program from ending in time
 IDLE = 120.0  # s after which a connection without a message is closed
 SWEEP = 2.0
-REASON = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
-          409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
-          431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
-          503: "Service Unavailable", 504: "Gateway Timeout"}
-HOP = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"te", b"trailer", b"upgrade",
-                 b"proxy-connection", b"host", b"expect", b"x-timeout"))
-KEPT = frozenset((b"x-request-id", b"idempotency-key"))  # these pass through whatever else is said
-
-
-@dataclass(slots=True)
-class Payload:
-    """What passes through to a sim server unchanged."""
-
-    method: bytes
-    target: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-
-
-class Fault(Exception):
-    """Bytes that get an error answer; carries the status."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-class Reader:
-    """Bytes of one connection to whole messages; every part is bounded."""
-
-    def __init__(self) -> None:
-        self._parser = httptools.HttpRequestParser(self)
-        self.whole: deque[tuple[Payload, bool]] = deque()  # and whether the connection is kept after it
-        self.waits_to_continue = False
-        self._clear()
-
-    def _clear(self) -> None:
-        self.partial = False
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._parts: list[bytes] = []
-        self._size = self._fed = 0
-        self._headed = False
-
-    def feed(self, data: memoryview) -> None:
-        """Raises Fault. What came whole before the fault stands in `whole`."""
-        before = len(self.whole)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise Fault(400) from None
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            raise Fault(cause.status if isinstance(cause, Fault) else 400) from None
-        except httptools.HttpParserError:
-            raise Fault(400) from None
-        if self.partial and len(self.whole) == before:
-            # httptools keeps an unfinished header or trailer to itself, so the bytes fed are counted, but for a piece
-            # that also holds the end of the message before: most of it may be that one's body.
-            self._fed += len(data)
-            if self._fed > (WIRE if self._headed else HEAD):
-                raise Fault(413 if self._headed else 431)
-
-    def on_message_begin(self) -> None:
-        self._clear()
-        self.partial = True
-
-    def on_url(self, part: bytes) -> None:
-        self._target += part
-        if len(self._target) > TARGET:
-            raise Fault(431)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headed:  # a trailer: it must not pass for a header
-            return
-        self._size += len(name) + len(value)
-        if self._size > HEAD:
-            raise Fault(431)
-        self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        self._headed, self._size = True, 0
-        for name, value in self._headers:
-            if name == b"content-length" and int(value) > BODY:
-                raise Fault(413)
-            if name == b"expect":
-                self.waits_to_continue = True
-
-    def on_body(self, part: bytes) -> None:
-        self._size += len(part)
-        if self._size > BODY:
-            raise Fault(413)
-        self._parts.append(part)
-
-    def on_message_complete(self) -> None:
-        found = Payload(self._parser.get_method(), self._target, self._headers, b"".join(self._parts))
-        self.whole.append((found, self._parser.should_keep_alive()))
-        self.waits_to_continue = False
-        self._clear()
-
-
-def message(payload: Payload) -> Message:
-    try:
-        named: dict[str, str] = {}
-        for name, value in ((n.decode("ascii"), v.decode("ascii")) for n, v in payload.headers):
-            if name in named and name in CONTROL:  # two readers of it could take two different ones
-                raise MessageError(f"{name}: twice")
-            named[name] = value
-        path = payload.target.decode("ascii")
-    except UnicodeDecodeError:
-        raise MessageError("headers: not ASCII") from None
-    own = {part.strip().encode() for part in named.get("connection", "").lower().split(",")}  # named as this hop's own
-    payload.headers = [h for h in payload.headers if h[0] not in HOP and (h[0] not in own or h[0] in KEPT)]
-    return decode(named, path, payload)
-
-
-def encode(status: int, body: bytes, keep: bool, after: float = 0.0, headers: list[tuple[bytes, bytes]] | None = None,
-           ) -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASON.get(status, 'Answer')}\r\nContent-Length: {len(body)}\r\n"]
-    if after > 0:
-        lines.append(f"Retry-After: {after:.3f}\r\n")
-    if not keep:
-        lines.append("Connection: close\r\n")
-    head = "".join(lines).encode()
-    for name, value in headers or ():
-        head += name + b": " + value + b"\r\n"
-    return head + b"\r\n" + body
 
 
 class Client:
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -14,7 +14,7 @@
 import structlog
 
 from .address import Address, ConfigError
-from .config import Config
+from .config import Config, reload
 from .core.ingress import Ingress
 from .metrics import Metrics
 from .net.counter import CounterClient
@@ -101,6 +101,7 @@
             self.loop.on_signal(signal.SIGTERM, self.end)
             self.loop.on_signal(signal.SIGINT, self.end)
             self.loop.on_signal(signal.SIGUSR1, self.report)
+            self.loop.on_signal(signal.SIGHUP, self.reload)
         at = self._listen("listen", self.north, self.config.listen)
         if self.front is not None and self.config.operator.server is not None:
             checks = self._listen("authz.server.listen", self.front, self.config.operator.server.listen)
@@ -117,6 +118,21 @@
     def report(self) -> None:
         self.log.info("counters", **self.metrics.table())
 
+    def reload(self) -> None:
+        """The file has been replaced: discovery and the counter may be elsewhere. All else stays as it is."""
+        try:
+            new = reload(self.config.path, self.config.operator)
+        except ConfigError as error:
+            self.metrics.add("reloads_failed")
+            self.log.error("reload", error=str(error))
+            return
+        self.metrics.add("reloads")
+        if new.discovery is not None and isinstance(self.discovery, Discovery):
+            self.discovery.move(new.discovery)
+        if new.counter is not None and self.counter is not None:
+            self.counter.move(new.counter)
+        self.log.info("reloaded", discovery=new.discovery, counter=new.counter)
+
     def end(self) -> None:
         """Take what still arrives for a while, finish all that is held, then stop."""
         if not self.ending:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,11 +13,12 @@
 
 import pytest
 
+from brackenpulley.address import address
 from brackenpulley.net import sockets
-from brackenpulley.net.counter import Replies, ReplyError
+from brackenpulley.net.answers import Malformed, Reply, outcome
+from brackenpulley.net.counter import Replies
 from brackenpulley.net.counter import encode as encode_call
-from brackenpulley.net.north import Fault, Reader
-from brackenpulley.net.south import Malformed, Reply, outcome
+from brackenpulley.net.requests import Fault, Reader
 
 from .rig import Peer, Rig, rig
 from .test_link import SETTINGS
@@ -345,18 +346,61 @@
         assert b"from=8 " in source.accept().until(b"\r\n\r\n")
 
 
-@pytest.mark.parametrize(("data", "found"), [
-    ([b"+PONG\r\n"], ["+PONG"]), ([b":7\r\n$3\r\n1.5\r\n"], [7.0, 1.5]), ([b"$1", b"\r", b"\n9\r", b"\n"], [9.0]),
-    ([b"-BUSY\r\n-ERR no\r\n"], ["-BUSY", "-ERR no"]), ([b"*1\r\n"], None), ([b"$-1\r\n"], None),
-    ([b"$1\r\n12\r\n"], None),
-    ([b"$1\r\nx\r\n"], None), ([b"$99999\r\n"], None), ([b"+" + b"x" * 5000], None), ([b":\r\n"], None)])
-def test_counter_answers(data: list[bytes], found: list[Any] | None) -> None:
+# Guards against taking a spoilt answer for "nothing was added" and telling the amount a second time; and against losing
+# the good answers in front of it.
+@pytest.mark.parametrize(("data", "found", "good"), [
+    ([b":7\r\n$3\r\n1.5\r\n"], [7.0, 1.5], True), ([b"$1", b"\r", b"\n9\r", b"\n"], [9.0], True),
+    ([b"-BUSY\r\n-ERR no\r\n"], ["BUSY", "ERR no"], True), ([b"$3\r\n1e3\r\n"], [1000.0], True),
+    ([b"$1\r\n5\r\n*1\r\n"], [5.0], False), ([b"+PONG\r\n"], [], False), ([b"-BUSYx\r\n"], [], False),
+    ([b"$-1\r\n"], [], False), ([b"$1\r\n12\r\n"], [], False), ([b"$1\r\nx\r\n"], [], False),
+    ([b"$3\r\nnan\r\n"], [], False), ([b"$3\r\n1_0\r\n"], [], False), ([b"$5\r\n1e999\r\n"], [], False),
+    ([b"$99999\r\n"], [], False), ([b"+" + b"x" * 5000], [], False), ([b":\r\n"], [], False),
+    ([b"\xff\xfe\x00\r\n"], [], False)])
+def test_counter_answers(data: list[bytes], found: list[Any], good: bool) -> None:
     replies = Replies()
-    if found is None:
-        with pytest.raises(ReplyError):
-            [replies.feed(part) for part in data]
-    else:
-        assert [x for part in data for x in replies.feed(part)] == found
+    assert [replies.feed(part) for part in data][-1] is good
+    assert replies.taken() == found
+
+
+def test_a_spoilt_answer_of_the_counter_costs_its_connection_alone() -> None:
+    with rig(counter=True) as r:
+        ends: list[tuple[int, str, float]] = []
+        client = r.daemon.counter
+        assert client is not None
+        client.tell = lambda e: ends.append((e.name, e.status, e.total))
+        r.freeze()
+        for name in (1, 2, 3):
+            client.add(name, 1, 4.0)
+        wire = r.counter.accept()
+        wire.until(b"$1\r\n3\r\n$1\r\n1\r\n")
+        wire.send(b"$1\r\n9\r\n$-what\r\n$1\r\n8\r\n")
+        r.until(lambda: len(ends) == 3)
+        assert ends == [(1, "ok", 9.0), (2, "timeout", 0.0), (3, "timeout", 0.0)] and wire.ended()
+        client.add(4, 1, 4.0)  # at once, on a new connection
+        wire = r.counter.accept()
+        wire.until(b"$1\r\n4\r\n")
+        wire.send(b"$1\r\n2\r\n")
+        r.until(lambda: len(ends) == 4)
+        assert ends[3] == (4, "ok", 2.0)
+
+
+def test_a_counter_that_moves_still_answers_what_is_out() -> None:
+    with rig(counter=True) as r:
+        ends: list[tuple[int, str]] = []
+        client = r.daemon.counter
+        assert client is not None
+        client.tell = lambda e: ends.append((e.name, e.status))
+        r.freeze()
+        client.add(1, 1, 4.0)
+        old = r.counter.accept()
+        old.until(b"4000\r\n")
+        other = Peer(r)
+        client.move(address(other.at, "counter"))
+        client.add(2, 1, 4.0)
+        new = other.accept()
+        new.until(b"4000\r\n")
+        old.send(b"$1\r\n1\r\n")
+        assert old.ended() and ends == [(1, "ok")]
 
 
 @pytest.mark.parametrize(("amount", "text"), [(0.0, b"0"), (100.0, b"100"), (-2.5, b"-2.5"), (1e-7, b"0")])
@@ -372,7 +416,7 @@
     (b"503 No\r\nX-Not-Processed: 1", "full", 0, 0.0, []), (b"504 No\r\nX-Not-Processed: 1", "full", 0, 0.0, [])])
 def test_outcomes(head: bytes, status: str, used: int, cost: float, load: list[float]) -> None:
     reply = Reply()
-    reply.feed(memoryview(b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n"))
+    reply.feed(b"HTTP/1.1 " + head + b"\r\nContent-Length: 0\r\n\r\n")
     end = outcome(reply, ["svc_ms"])
     assert (end.status, end.used, end.cost, end.load) == (status, used, cost, load) and reply.whole and reply.keep
 
@@ -382,16 +426,76 @@
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nrest\r\n", False), (b"HTTP/1.1 200", False)])
 def test_an_answer_that_ends_with_its_connection(data: bytes, whole: bool) -> None:
     reply = Reply()
-    reply.feed(memoryview(data))
+    reply.feed(data)
     reply.end()
     assert reply.whole is whole and not reply.keep
 
 
-@pytest.mark.parametrize("data", [b"nonsense", b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000,
-                                  b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000])
-def test_an_answer_that_is_none(data: bytes) -> None:
+H200 = b"HTTP/1.1 200 OK\r\n"
+CHUNKS = H200 + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
+PLAIN = H200 + b"Content-Length: 2\r\n\r\nab"
+
+
+# Guards against joining a second copy to the first, and against a connection on which something stands behind.
+@pytest.mark.parametrize(("data", "keep"), [
+    (PLAIN, True), (CHUNKS, True), (PLAIN + PLAIN, False), (PLAIN + b"\0\xffnoise", False), (PLAIN + b"\r\n", False),
+    (CHUNKS + CHUNKS, False), (CHUNKS + b"noise", False), (b"HTTP/1.1 103 Hint\r\nLink: x\r\n\r\nHTTP/1.1 100 Go on\r\n\r\n" + PLAIN,
+     True),
+    (H200 + b"Connection: close\r\nContent-Length: 2\r\n\r\nab", False)])
+def test_one_answer_is_taken_whatever_stands_beside_it(data: bytes, keep: bool) -> None:
+    reply = Reply()
+    reply.feed(data)
+    assert (reply.whole, reply.body, reply.keep) == (True, b"ab", keep)
+
+
+@pytest.mark.parametrize("data", [
+    b"nonsense\r\n\r\n", H200 + b"X: " + b"y" * 20000, b"x" * 20000, H200 + b"Content-Length: 3000000000\r\n\r\n",
+    H200 + b"Content-Length: -2\r\n\r\nab", H200 + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+    H200 + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", H200 + b"C\0: 2\r\n\r\n",
+    H200 + b"Transfer-Encoding: gzip\r\n\r\n", H200 + b"\r\n" + b"x" * 70000, b"HTTP/1.1 101 No\r\n\r\n",
+    b"HTTP/1.1 100 Go on\r\n\r\n" * 20, H200 + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    H200 + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n" + b"x" * 0x8000 + b"\r\n8001\r\n" + b"x" * 0x8001])
+@pytest.mark.parametrize("step", [13, 100000])
+def test_an_answer_that_is_none(data: bytes, step: int) -> None:
+    reply = Reply()
     with pytest.raises(Malformed):
-        Reply().feed(memoryview(data))
+        for at in range(0, len(data), step):
+            reply.feed(data[at:at + step])
+
+
+@pytest.mark.parametrize("spoilt", [b"nonsense\r\n\r\n", H200 + b"Content-Length: 9\r\n\r\nab", b"HTTP/1.1 200"])
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(spoilt: bytes) -> None:
+    with rig(2) as r:
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(spoilt)
+        r.until(lambda: r.count("relay_reset") + len(r.daemon.loop._heap) > 0)
+        while not r.count("relay_reset"):  # one that never ends costs half a second, not the message's whole time
+            r.skip(0.2)
+            assert r.count("relay_timeout") == 0
+        assert server.ended()
+        _, server = r.served()
+        server.answer()
+        server.send(PLAIN + PLAIN)
+        status, _, body = client.answer()
+        assert (status, body) == (200, b"ab") and server.ended()
+
+
+def test_a_new_id_at_an_old_address_takes_over_no_connection() -> None:
+    with rig() as r:
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200
+        r.peers["s-9"] = r.peers.pop("s-0")
+        r.daemon.inventory.told(r.listing())
+        r.ask(2, wire=client)
+        _, new = r.served()
+        new.answer()
+        r.skip(1.1)
+        assert server.ended() and r.count("connects") == 2
 
 
 @pytest.mark.parametrize("step", [1, 3, 1000])
@@ -471,6 +575,33 @@
 
 
 
+def test_sighup_moves_discovery_and_the_counter_and_keeps_the_rest(tmp_path: Any) -> None:
+    # Guards against ending on SIGHUP, against the variables of the start hiding the new file's addresses, and against
+    # a file that can't be read.
+    path, places = tmp_path / "config.json", [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+    at = [f"127.0.0.1:{place.getsockname()[1]}" for place in places]
+    path.write_text(json.dumps(GOOD))
+    child = subprocess.Popen([sys.executable, "-m", "brackenpulley", "serve"], stdout=subprocess.PIPE, text=True,
+                             env={**os.environ, "BALANCER_CONFIG": str(path), "BALANCER_DISCOVERY": at[0]})
+    assert child.stdout is not None
+    next(x for x in child.stdout if "event=listening" in x)
+    for place in places:
+        place.settimeout(30)
+    first = places[0].accept()[0]
+    path.write_text("{")
+    child.send_signal(signal.SIGHUP)
+    assert "not JSON" in next(x for x in child.stdout if "event=reload" in x)
+    path.write_text(json.dumps({**GOOD, "discovery": at[1]}))
+    child.send_signal(signal.SIGHUP)
+    second = places[1].accept()[0]
+    assert second.recv(1000).startswith(b"GET /v1/endpoints HTTP/1.1")
+    child.send_signal(signal.SIGHUP)  # SIGTERM in the middle of a reload
+    child.send_signal(signal.SIGTERM)
+    assert "reloads_failed=1" in child.stdout.read() and child.wait(30) == 0
+    for sock in (first, second, *places):
+        sock.close()
+
+
 def test_an_address_in_use_is_named_in_one_line(tmp_path: Any) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         done = run({**GOOD, "listen": f"127.0.0.1:{taken.getsockname()[1]}"}, tmp_path, "serve")
