--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -18,6 +18,8 @@
 STALE = 3.0         # s after which a reading no longer speaks for the other gateways
 EPOCH = 30.0        # s one counter name serves; its life, and an idle customer's, is twice that
 GAP, NOTE_GAP = 0.12, 0.2  # s between calls for one customer, at least, and between notes to peers
+PACE_MIN, PACE_MAX, CALL_SLOW = 0.03, 0.6, 0.8  # s between calls of this gateway; part of the time-out that is slow
+FASTER, SLOWER, BACK = 0.85, 1.15, 1.5  # what a quick, a slow and a lost answer make of that pace
 CALL_PART, CALL_LOW = 0.45, 0.75  # time for a call: so much of the burst unreported by all, or a store so low
 HASTE = 3.0         # usual latencies that a client must still wait: what it gives up on is work for nothing
 SAVED = 2.0         # largest requests of its even share that a gateway saves up
@@ -91,10 +93,11 @@
         self.servers, self.reqs = dict[str, Server](), dict[str, Held]()
         self.note_gap = max(NOTE_GAP, 1.5 * (settings.gateways - 1) / max(settings.peer_per_s, 1.0))
         self.by_notes = settings.peers and self.note_gap <= STALE / 5  # fresh against a burst
-        self.note_at = self.warm_at = self.call_at = now
+        self.note_at = self.warm_at = self.call_at = self.called = now
         self.pace = self.good = self.out = self.queue = self.warm_rate = self.warm_sent = 0.0
         self.asked: deque[str] = deque(maxlen=3)  # names: a restart makes a new record
-        self.token, self.watched, self.watch_at, self.size, self.gap = 0, False, NEVER, 1.0, GAP
+        self.token, self.watched, self.watch_at, self.size, self.gap = 0, False, NEVER, 1.0, GAP / 2
+        self.due, self.counting = dict[int, Customer](), -1  # use to be told to the counter; the name of the call out
         self.acts: list[i.Action] = []
         self.does: dict[type, Callable[[float, Any], None]] = {
             i.Request: self.request, i.Outcome: self.outcome, i.Started: self.started, i.Gone: self.gone,
@@ -121,7 +124,8 @@
         if c:
             c.ceil, c.own, c.tries, c.seen_at = c.ceil - r.units, c.own + r.units, c.tries + 1, now
             c.take(r.units)
-            self.call(now, c)
+            self.note_use(now, c)
+            self.call(now)
 
     def crowded(self, now: float, loop: Loop) -> bool:
         """What is out over the pace of answers tells a queue at once; few vary by chance and are smoothed."""
@@ -165,6 +169,7 @@
             c.open -= 1
             if o.cost and self.s.settles:
                 c.take(o.cost - q.r.units)
+                self.note_use(now, c)
             if o.used > 0 and self.s.meter_period and c.plan.rate and not (self.s.counter or self.by_notes):
                 dt = min(now - c.read_at, STALE)
                 self.learn(now, c, max(0.0, (o.used - 1) / 100 * c.plan.rate - c.own) * dt, now - dt)
@@ -243,30 +248,44 @@
                 return BEAT
         return (r.units - c.level) * c.spread / p.rate if p.rate and c.level < r.units else 0.0
 
-    def call(self, now: float, c: Customer) -> None:
-        """Report use to the counter where the customer could come near its quota; nothing waits for it."""
-        if (not self.s.counter or self.by_notes or c.spread == 1 or not c.plan.rate or c.calling
-                or c.unsaid <= 0 or now < max(c.next_call, self.call_at)):
+    def note_use(self, now: float, c: Customer) -> None:
+        """Use is told to the counter where the customer could come near its quota; nothing waits for it."""
+        if not self.s.counter or self.by_notes or c.spread == 1 or not c.plan.rate or c.unsaid <= 0:
             return
         cap = c.plan.burst if now - c.read_at <= STALE else c.share
         if c.unsaid >= CALL_PART * c.plan.burst / c.spread or c.tries > 1 and c.level < cap * CALL_LOW:
-            name = int(now // EPOCH) % (1 << 29) << 33 | c.key % (1 << 33)
-            c.total, c.unsure, c.name = c.total * (name == c.name), c.unsure * (name == c.name), name
-            c.calling, c.unsaid, c.next_call = c.unsaid, 0.0, now + GAP
-            self.call_at = now + (self.gap - GAP) * 2 * self.rng.random()
-            self.acts.append(i.Count(name, c.calling, 2 * EPOCH))
+            self.due[c.key] = c
+
+    def call(self, now: float) -> None:
+        """One call at a time, the most unsaid first: many at once wait behind each other until all are given up."""
+        if now < self.call_at or not (ready := [c for c in self.due.values() if now >= c.next_call]):
+            return
+        c = max(ready, key=lambda c: c.unsaid / c.plan.burst)
+        del self.due[c.key]
+        name = int(now // EPOCH) % (1 << 29) << 33 | c.key % (1 << 33)
+        c.total, c.unsure, c.name = c.total * (name == c.name), c.unsure * (name == c.name), name
+        c.calling, c.unsaid, c.next_call = c.unsaid, 0.0, now + GAP
+        self.counting, self.called, self.call_at = name, now, now + max(self.gap, 2 * self.s.counter_timeout)
+        self.acts.append(i.Count(name, c.calling, 2 * EPOCH))
 
     def counted(self, now: float, e: i.Counted) -> None:
+        if e.name != self.counting:
+            return
+        self.counting, slow = -1, e.latency > CALL_SLOW * self.s.counter_timeout
+        pace = BACK if e.status != "ok" else SLOWER if slow else FASTER
+        self.gap = min(PACE_MAX, max(PACE_MIN, self.gap * pace))
+        self.call_at = self.called + self.gap * (0.5 + self.rng.random())  # gateways never fall into step
         c = self.customers.get(e.name % (1 << 33))
-        if c is None or not c.calling or e.name != c.name:
+        if c is None or e.name != c.name:
             return
         if e.status == "ok":
-            used, self.gap = c.answered(e.total), max(GAP, 0.9 * self.gap)
+            used = c.answered(e.total)
             if used > -0.5:  # a total below what was added from here: the counter came back empty
                 self.learn(now, c, max(0.0, used), max(now - now % EPOCH, c.born - EPOCH, c.read_at))
-            return
-        c.unanswered(e.status == "timeout")
-        self.gap = min(STALE / 2, 1.5 * self.gap)  # a counter that turns calls away is not pressed further
+        else:
+            c.unanswered(e.status == "timeout")
+        self.note_use(now, c)
+        self.call(now)
 
     def tell(self, now: float) -> None:
         """Use in all and attempts out, where they changed, for the peers; totals mend lost notes."""
@@ -435,7 +454,7 @@
                 self.warm_rate += GAIN * (self.warm_sent / size / (now - self.warm_at) - self.warm_rate)
             kept = ((k, c) for k, c in self.customers.items() if now - c.seen_at <= 2 * EPOCH or c.open)
             self.warm_sent, self.warm_at, self.customers = 0, now, dict(kept)
-        for c in sorted(self.customers.values(), key=lambda c: -c.unsaid / max(c.plan.burst, 1.0)):
-            self.call(now, c)
+            self.due = {k: c for k, c in self.due.items() if k in self.customers}
+        self.call(now)
         if self.by_notes and now - self.note_at >= self.note_gap:
             self.tell(now)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -439,8 +439,8 @@
 # Guards against joining a second copy to the first, and against a connection on which something stands behind.
 @pytest.mark.parametrize(("data", "keep"), [
     (PLAIN, True), (CHUNKS, True), (PLAIN + PLAIN, False), (PLAIN + b"\0\xffnoise", False), (PLAIN + b"\r\n", False),
-    (CHUNKS + CHUNKS, False), (CHUNKS + b"noise", False), (b"HTTP/1.1 103 Hint\r\nLink: x\r\n\r\nHTTP/1.1 100 Go on\r\n\r\n" + PLAIN,
-     True),
+    (CHUNKS + CHUNKS, False), (CHUNKS + b"noise", False),
+    (b"HTTP/1.1 103 Hint\r\nLink: x\r\n\r\nHTTP/1.1 100 Go on\r\n\r\n" + PLAIN, True),
     (H200 + b"Connection: close\r\nContent-Length: 2\r\n\r\nab", False)])
 def test_one_answer_is_taken_whatever_stands_beside_it(data: bytes, keep: bool) -> None:
     reply = Reply()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -77,6 +77,8 @@
     c.next_call = d.now
     c.unsaid = 6.0
     c.tries = 5
+    d.g.note_use(d.now, c)
+    d.now += 1.0
     again, = of(Count, d.do(Timer(d.g.token)))
     before, read_at = c.level, c.read_at
     d.now += 0.01
@@ -142,6 +144,31 @@
     assert of(Refuse, d.ask()) and loop.tokens == before
 
 
+def test_calls_go_one_at_a_time_the_most_unsaid_first() -> None:
+    # Guards against 20 calls in one beat: they waited behind each other until all but two were given up.
+    d = Drive(servers=20)
+    for n in range(1, 7):
+        for _ in range(4):
+            d.ask(customer=n, spread=3, units=1.0 + (n == 5))
+    d.now += 0.3
+    first, = of(Count, d.log)
+    second, = of(Count, d.do(Counted(first.name, "ok", first.amount)) + d.do(Timer(d.g.token)))
+    assert second.name % (1 << 33) == 5
+    assert not of(Count, d.do(Counted(first.name, "ok", 1.0)))  # an answer to no call that is out
+
+
+def test_slow_and_lost_answers_slow_the_calls_down() -> None:
+    paces = []
+    for status, latency in (("ok", 0.001), ("ok", 0.045), ("timeout", 0.05)):
+        d = Drive(counter_timeout=0.05)
+        for _ in range(9):
+            d.ask(spread=3)
+        call, = of(Count, d.log)
+        d.do(Counted(call.name, status, call.amount, latency))
+        paces.append(d.g.gap)
+    assert paces == sorted(paces) and len(set(paces)) == 3
+
+
 def test_a_counter_that_turns_calls_away_is_asked_less_often() -> None:
     """With a crowded counter nine calls of ten were turned away, and all were repeated at once."""
     d = Drive(servers=20)
