Bound what bad clients hold: strangers go first, 2 s for a message, weights checked

Ruled out: both framings (llhttp refuses, now checked by us as well), 60 MB bodies (413 at the head). Now core/message.check answers 400 with the settings at hand on both fronts, messages sent out of turn get 400, strangers make room first, the descriptors' spare part and the clients' share follow the configuration.

--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -127,6 +127,7 @@
         try:
             left = max(0.0, call.until - self.front.loop.clock())
             message = message_of(http2.unframe(bytes(call.data)), left)
+            exchange = self.front.ingress.take(message, lambda answer: self._answer(call, answer), self.front.grant)
         except FramingError as error:
             self._error(call, error.status, str(error))
             return
@@ -134,7 +135,6 @@
             self.front.metrics.add("malformed")
             self._error(call, http2.INVALID_ARGUMENT, str(error))
             return
-        exchange = self.front.ingress.take(message, lambda answer: self._answer(call, answer), self.front.grant)
         if exchange is None:
             self._error(call, http2.ALREADY_EXISTS, "x-request-id: in hand already")
         elif not exchange.over:
--- a/brackenpulley/config.py
+++ b/brackenpulley/config.py
@@ -23,6 +23,7 @@
     counter: Address | None
     seed: int
     sockets: int
+    memory_mb: int
     known: JSON
     settings: i.Settings
     transport: Transport
@@ -52,9 +53,14 @@
         raise ConfigError(f"settings.{error}") from None
     except (TypeError, ValueError, AttributeError, KeyError) as error:
         raise ConfigError(f"settings: {type(error).__name__}: {error}") from None
-    sockets = limits.get("sockets", 1024)
-    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
-        raise ConfigError(f"limits.sockets: {sockets!r} is not a whole number from 64")
+
+    def limit(key: str, default: int, least: int) -> int:
+        value = limits.get(key, default)
+        if not isinstance(value, int) or isinstance(value, bool) or value < least:
+            raise ConfigError(f"limits.{key}: {value!r} is not a whole number from {least}")
+        return value
+
+    sockets, memory_mb = limit("sockets", 1024, 64), limit("memory_mb", 2048, 16)
     try:
         seed = int(str(raw.get("seed", "0")), 16)
     except ValueError:
@@ -66,8 +72,8 @@
         name=str(told("BALANCER_NAME", "name")), listen=address(told("BALANCER_LISTEN", "listen"), "listen"),
         discovery=None if operator.xds else address(told("BALANCER_DISCOVERY", "discovery"), "discovery"),
         counter=address(raw["counter"], "counter") if raw.get("counter") else None,
-        seed=seed, sockets=sockets, known=_object(raw.get("known", {}), "known"), settings=rules, transport=conns,
-        operator=operator)
+        seed=seed, sockets=sockets, memory_mb=memory_mb, known=_object(raw.get("known", {}), "known"), settings=rules,
+        transport=conns, operator=operator)
 
 
 def _read(path: str, env: Mapping[str, str], operator: Operator | None) -> Config:
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -10,7 +10,7 @@
 from ..policy import interface as i
 from ..policy.brain import Gateway
 from .exchange import Answer, Authoriser, Exchange, RelayEnd, South, Verdict
-from .message import Message
+from .message import Message, check
 
 
 class Timers(Protocol):
@@ -47,7 +47,8 @@
             i.Fetch: lambda a: self.watch(), i.Log: lambda a: self.log.info("module", text=a.text)}
 
     def take(self, message: Message, reply: Callable[[Answer], None], south: South) -> Exchange | None:
-        """A message was taken in; None (and nothing owed) if its id is in hand already."""
+        """A message was taken in; None (and nothing owed) if its id is in hand already. Raises MessageError."""
+        check(message, self.gateway.s)
         if message.id in self.held:
             return None
         self.metrics.add("messages")
--- a/brackenpulley/core/message.py
+++ b/brackenpulley/core/message.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..policy.interface import Settings
+
 MARGIN = 0.03  # s kept back of a client's time: it counts from its sending, and our answer has a way to go
 UNITS = {"m": 1e-3, "u": 1e-6, "S": 1.0, "M": 60.0, "H": 3600.0, "n": 1e-9}  # gRPC's letters, of which we use m and u
 LONGEST = 3600.0
@@ -41,20 +43,34 @@
 
 def weight(text: str) -> tuple[float, int, int]:
     """'units=2,spread=3,first=1'; what is not named keeps its usual value."""
-    found = {"units": 1, "spread": 1, "first": 0}
+    found: dict[str, int] = {}
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
-        if name in found:
-            if not (value.isascii() and value.isdigit() and len(value) <= 6):
+        if name in ("units", "spread", "first"):
+            if name in found or not (value.isascii() and value.isdigit() and len(value) <= 6):
                 raise MessageError(f"x-weight: {name} is {value[:40]!r}")
             found[name] = int(value)
-    return float(found["units"]), max(1, found["spread"]), found["first"]
+    return float(found.get("units", 1)), found.get("spread", 1), found.get("first", 0)
+
+
+def check(m: Message, s: Settings) -> None:
+    """What the settings leave no room for never reaches the module: it would spoil a customer's quota and estimates."""
+    if all(c.name != m.cls for c in s.classes):
+        raise MessageError(f"x-priority-class: no class {m.cls[:40]!r}")
+    if s.plans and all(p.name != m.plan for p in s.plans):
+        raise MessageError(f"x-tariff: no plan {m.plan[:40]!r}")
+    if not 1 <= m.units <= s.most_units:
+        raise MessageError(f"x-weight: units is {m.units:g}, not from 1 to {s.most_units:g}")
+    if not 1 <= m.spread <= s.gateways or not 0 <= m.first < s.gateways:
+        raise MessageError(f"x-weight: {m.spread} from {m.first} is no set of {s.gateways}")
 
 
 def decode(headers: Mapping[str, str], path: str, payload: Any = None) -> Message:
     """Headers by lower-case name, and the path with or without its query."""
     parts = path.partition("?")[0].strip("/").split("/")
     ident, cls = headers.get("x-request-id", ""), headers.get("x-priority-class") or parts[0]
+    if cls != parts[0]:  # it would be decided on as the one and run as the other
+        raise MessageError("x-priority-class: not the path's class")
     if not 0 < len(ident) <= 64 or not ident.isascii() or not ident.isprintable() or " " in ident:
         raise MessageError("x-request-id: missing or not usable")
     customer = int(parts[-1], 16) if 0 < len(parts[-1]) <= 16 and HEX.issuperset(parts[-1]) else -1
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -9,7 +9,7 @@
 from ..address import Address
 from ..core.exchange import Answer, Exchange, South
 from ..core.ingress import Ingress
-from ..core.message import Message, MessageError
+from ..core.message import MessageError
 from ..metrics import Metrics
 from . import sockets
 from .loop import READ, WRITE, Loop
@@ -17,16 +17,20 @@
 from .requests import Fault, Reader, encode, message
 
 ACCEPTS_A_TURN = 64
-PARTIAL = 10.0  # s for the rest of a message that has begun, and for an answer to be taken
-PARTIAL_AT_END = 3.0  # the same after SIGTERM, so that no half message keeps the program from ending in time
+PARTIAL = 2.0  # s from connecting, or from a message's first byte, until the message is whole
+UNTAKEN = 10.0  # s for an answer to be taken
+UNTAKEN_AT_END = 3.0  # the same after SIGTERM, so that no client keeps the program from ending in time
 IDLE = 120.0  # s after which a connection without a message is closed
-SWEEP = 2.0
+SWEEP = 0.25
+NEW = 0.05  # s in which a message is on its way for sure; after that a stranger is the first to make room
+PAUSE = 0.01  # s without accepting where nothing can make room
 
 
 class Client:
     """One connection of the north side; owned by North, closed in North.close alone."""
 
-    __slots__ = ("sock", "reader", "exchange", "busy", "keep", "out", "since", "reading", "closing", "serial")
+    __slots__ = ("sock", "reader", "exchange", "busy", "keep", "out", "since", "reading", "closing", "serial",
+                 "crowded")
 
     def __init__(self, sock: socket.socket, now: float) -> None:
         self.sock, self.reader = sock, Reader()
@@ -38,6 +42,7 @@
         self.reading = True
         self.closing = False
         self.serial = 0
+        self.crowded = False  # the next message came before the one in front of it was answered
 
 
 class North:
@@ -46,6 +51,7 @@
         self.loop, self.pool, self.ingress, self.south = loop, pool, ingress, south
         self.metrics, self.log, self.most, self.ready = metrics, log, most, ready
         self.clients: dict[Client, None] = {}  # the longest unused first
+        self.strangers: dict[Client, None] = {}  # of these, those that have not sent a whole message yet; oldest first
         self.listener: socket.socket | None = None
         self.accepting = False
         self.draining = False
@@ -82,24 +88,42 @@
                 if sockets.out_of_descriptors(error):
                     self.metrics.add("out_of_descriptors")
                     if not self._evict():
-                        self._accept_off()
-                        self.loop.call_in(0.01, self._accept_on)
+                        self._pause()
                         return
                 continue
             client = Client(sock, self.loop.clock())
-            self.clients[client] = None
+            self.clients[client] = self.strangers[client] = None
             self.metrics.add("accepted")
             self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
             self._readable(client)
             # What waits in the backlog counts as taken: unused connections make room before anything waits there.
             if len(self.clients) > self.most and not self._evict():
-                self._accept_off()
+                self._pause()
                 return
 
+    def _pause(self) -> None:
+        self._accept_off()
+        self.loop.call_in(PAUSE, self._resume)
+
+    def _resume(self) -> None:
+        if len(self.clients) <= self.most or self._evict():
+            self._accept_on()
+        else:
+            self._pause()
+
     def _evict(self) -> bool:
-        """Close the longest unused connection that has nothing to say."""
+        """Close the oldest stranger that sends no whole message, or the longest unused that has nothing to say."""
+        old = self.loop.clock() - NEW
+        for client in self.strangers:  # a crowd of them must not shut out those who come to ask
+            if client.since > old:
+                break
+            if not client.busy and not client.out and (client.reader.partial or not self._spoke(client)):
+                self.metrics.add("strangers_closed")
+                self.close(client)
+                return True
         for client in self.clients:
-            if not client.busy and not client.reader.partial and not client.out and not self._spoke(client):
+            if client.serial and not client.busy and not client.reader.partial and not client.out and (
+                    not self._spoke(client)):
                 self.close(client)
                 return True
         return False
@@ -138,7 +162,8 @@
         if client.reader.waits_to_continue and not client.out and not client.busy:
             client.reader.waits_to_continue = False
             self._write(client, b"HTTP/1.1 100 Continue\r\n\r\n")
-        if not client.reader.partial or not partial:  # a message has its time from its first byte, however it drips in
+        if client.serial and (not client.reader.partial or not partial):
+            # A message has its time from its first byte, the first one from connecting, however it drips in.
             client.since = self.loop.clock()
         if not client.busy:
             self._next(client)
@@ -160,25 +185,27 @@
         if client not in self.clients or client.busy or not client.reader.whole:
             return
         payload, keep = client.reader.whole.popleft()
+        crowded, client.crowded = client.crowded, bool(client.reader.whole)
         client.busy = True
         client.serial += 1
+        self.strangers.pop(client, None)
         client.keep = client.keep and keep
         del self.clients[client]  # used last: now at the end
         self.clients[client] = None
         if payload.method == b"GET" and payload.target == b"/ready":
             self._reply(client, 200 if self.ready() and not self.draining else 503)
             return
+        serial = client.serial
         try:
+            if crowded:
+                raise MessageError("one message at a time on a connection")
             asked = message(payload)
+            exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south)
         except MessageError as error:
             self.metrics.add("malformed")
+            client.keep = bool(client.reader.whole)  # whoever sends the same thing again connects again
             self._reply(client, 400, str(error).encode("ascii", "replace"))
             return
-        self._take(client, asked)
-
-    def _take(self, client: Client, asked: Message) -> None:
-        serial = client.serial
-        exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south)
         if exchange is None:
             self._reply(client, 409, b"x-request-id: in hand already")
         elif client.busy and client.serial == serial and not exchange.over:
@@ -193,6 +220,7 @@
     def _reply(self, client: Client, status: int, body: bytes = b"", after: float = 0.0,
                headers: list[tuple[bytes, bytes]] | None = None) -> None:
         client.keep = client.keep and not self.draining
+        client.since = self.loop.clock()
         self._write(client, encode(status, body, client.keep, after, headers))
 
     def _write(self, client: Client, data: bytes) -> None:
@@ -238,6 +266,7 @@
         if client not in self.clients:
             return
         del self.clients[client]
+        self.strangers.pop(client, None)
         self.loop.want(client.sock, 0, lambda events: None)
         client.sock.close()
         self.metrics.add("closed")
@@ -251,16 +280,18 @@
     def _sweep(self) -> None:
         """Connections that stand still: half a message, an answer nobody takes, no message for long."""
         now = self.loop.clock()
-        partial = PARTIAL_AT_END if self.draining else PARTIAL
+        untaken = UNTAKEN_AT_END if self.draining else UNTAKEN
         for client in list(self.clients):
             still = now - client.since
-            if client.out and still > partial:
-                self.close(client)
-            elif not client.busy and client.reader.partial and still > partial:
+            if client.out:
+                if still > untaken:
+                    self.close(client)
+            elif not client.busy and client.reader.partial and still > PARTIAL:
                 client.busy = True
                 client.keep = client.reading = False
                 self._reply(client, 408)
-            elif not client.busy and not client.reader.partial and still > IDLE and not self._spoke(client):
+            elif not client.busy and not client.reader.partial and still > (IDLE if client.serial else PARTIAL) and (
+                    not self._spoke(client)):
                 self.close(client)
         if self.listener is not None or self.clients:
             self.loop.call_in(SWEEP, self._sweep)
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -80,9 +80,15 @@
 
     def on_headers_complete(self) -> None:
         self._headed, self._size = True, 0
+        named = [name for name, _ in self._headers]
+        lengths, codings = named.count(b"content-length"), named.count(b"transfer-encoding")
+        if lengths + codings > 1:  # two framings may hide a message in a body; nothing of it is passed on
+            raise Fault(400)
         for name, value in self._headers:
             if name == b"content-length" and int(value) > BODY:
                 raise Fault(413)
+            if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+                raise Fault(400)
             if name == b"expect":
                 self.waits_to_continue = True
 
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -26,7 +26,8 @@
 from .policy.brain import Gateway
 
 LINGER = 0.5  # s after SIGTERM in which new connections are still taken
-SPARE = 64  # descriptors for everything but clients and sim servers
+SPARE, SPARE_PART = 64, 8  # descriptors for everything but clients and sim servers: at most, and 1 / part of all
+CLIENT_KB, MEMORY_PART = 80, 4  # a client with a whole message in hand; 1 / part of the memory is for them
 KNOWN_ENOUGH = 1.5  # s after which the list from the configuration must do
 
 
@@ -55,11 +56,12 @@
                                          self.metrics, lambda event: self.ingress.counted(event))
         self.ingress = Ingress(gateway, self.clock, self.loop, self.counter or NoCounter(), self.metrics, log)
         self.inventory = Inventory(self.ingress.members)
-        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - SPARE
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        sockets -= min(SPARE, max(16, sockets // SPARE_PART))
+        clients = min(sockets * 3 // 5, config.memory_mb * 1024 // MEMORY_PART // CLIENT_KB)
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
                                config.transport.idle, config.transport.connect, config.transport.fields)
-        self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, sockets * 3 // 5,
-                           self.ready)
+        self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready)
         self.discovery: Any = None
         self.front: Any = None
         self.authoriser: Any = None
