--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -19,14 +19,15 @@
 class Reply:
     """Bytes of one answer; `whole` once it is all there. What comes behind it is never looked into."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = BODY) -> None:
+        self.most = most  # bytes of the body
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
         self.whole = self.headed = self.keep = self.surplus = False
         self.status = 0
         self._head = b""  # what has come of the head
         self._parts: list[bytes] = []
-        self._size = self._interim = 0
+        self.size = self._interim = 0
         self._length = -1  # of the body, where it is told
         self._chunked = False
         self._parser: httptools.HttpResponseParser | None = None
@@ -49,6 +50,8 @@
             self._parse(data)
         else:
             self._take(data)
+        if self.whole:
+            self._parser = None  # it holds this object: together they would wait for the garbage collector
 
     def _read_head(self, head: bytes) -> None:
         self.headers, self._parser = [], httptools.HttpResponseParser(self)
@@ -67,8 +70,8 @@
             raise Malformed
         self.headed, self.status, self._chunked = True, status, bool(codings)
         if lengths:
-            self._length = int(lengths[0]) if lengths[0].strip().isdigit() else BODY + 1
-            if self._length > BODY:  # known at once: nothing of it needs to be waited for
+            self._length = int(lengths[0]) if lengths[0].strip().isdigit() else self.most + 1
+            if self._length > self.most:  # known at once: nothing of it needs to be waited for
                 raise Malformed
         if status in (204, 304):
             self._length = 0
@@ -85,9 +88,9 @@
             self._more()  # it was behind a whole answer
 
     def _take(self, data: bytes) -> None:
-        room = self._length - self._size if self._length >= 0 else BODY + 1
+        room = self._length - self.size if self._length >= 0 else self.most + 1
         self._add(data[:room])
-        if self._size == self._length:
+        if self.size == self._length:
             self._complete()
             if len(data) > room:
                 self._more()
@@ -97,13 +100,13 @@
         self.surplus, self.keep = True, False
 
     def _add(self, part: bytes) -> None:
-        self._size += len(part)
-        if self._size > BODY:
+        self.size += len(part)
+        if self.size > self.most:
             raise Malformed
         self._parts.append(part)
 
     def _complete(self) -> None:
-        self.whole, self.body = True, b"".join(self._parts)
+        self.whole, self.body, self._parts = True, b"".join(self._parts), []
 
     @property
     def begun(self) -> bool:
--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -14,17 +14,21 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 TIMERS_A_TURN = 256  # more that are due wait a turn, so that no burst of timers keeps the sockets waiting
+DEAD_TIMERS = 512  # cancelled timers that may wait for their time
 Ready = Callable[[int], None]
 
 
 class Timer:
-    __slots__ = ("call",)
+    __slots__ = ("call", "loop")
 
-    def __init__(self, call: Callable[[], None]) -> None:
+    def __init__(self, call: Callable[[], None], loop: Loop) -> None:
         self.call: Callable[[], None] | None = call
+        self.loop = loop
 
     def cancel(self) -> None:
-        self.call = None
+        if self.call is not None:
+            self.call = None
+            self.loop.cancelled()
 
 
 class Loop:
@@ -34,7 +38,7 @@
         self.clock, self.metrics, self.log = clock, metrics, log
         self._selector = selectors.DefaultSelector()
         self._heap: list[tuple[float, int, Timer]] = []
-        self._serial = 0
+        self._serial = self._cancelled = 0
         self._urgent: set[socket.socket] = set()
         self._soon: deque[Callable[[], None]] = deque()
         self._signals: dict[int, Callable[[], None]] = {}
@@ -64,11 +68,19 @@
         self._urgent.discard(sock)
 
     def call_at(self, when: float, call: Callable[[], None]) -> Timer:
-        timer = Timer(call)
+        timer = Timer(call, self)
         self._serial += 1
         heapq.heappush(self._heap, (when, self._serial, timer))
         return timer
 
+    def cancelled(self) -> None:
+        """One more timer that will never be due: now and then they are taken out, or they would pile up till then."""
+        self._cancelled += 1
+        if self._cancelled > DEAD_TIMERS and self._cancelled > len(self._heap) // 2:
+            self._heap = [entry for entry in self._heap if entry[2].call is not None]
+            heapq.heapify(self._heap)
+            self._cancelled = 0
+
     def call_in(self, delay: float, call: Callable[[], None]) -> Timer:
         return self.call_at(self.clock() + delay, call)
 
@@ -105,6 +117,7 @@
         now = self.clock()
         while self._heap and self._heap[0][2].call is None:
             heapq.heappop(self._heap)
+            self._cancelled -= 1
         wait = min(longest, max(0.0, self._heap[0][0] - now)) if self._heap else longest
         ready = self._selector.select(0 if self._soon else wait)
         began = self.clock()
@@ -121,8 +134,12 @@
         for _ in range(TIMERS_A_TURN):
             if not self._heap or self._heap[0][0] > began:
                 break
-            if call := heapq.heappop(self._heap)[2].call:
+            timer = heapq.heappop(self._heap)[2]
+            if timer.call is not None:
+                call, timer.call = timer.call, None  # cancelled from now on it counts for nothing
                 self._call(call)
+            else:
+                self._cancelled -= 1
         for _ in range(len(self._soon)):
             self._call(self._soon.popleft())
         self.metrics.most("longest_turn_us", int((self.clock() - began) * 1e6))
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -37,7 +37,7 @@
         self.exchange: Exchange | None = None
         self.busy = False  # a message of it is in hand, its answer not yet written
         self.keep = True
-        self.out = b""  # of the answer, what the socket has not taken yet
+        self.out: bytes | memoryview = b""  # of the answer, what the socket has not taken yet
         self.since = now
         self.reading = True
         self.closing = False
@@ -76,7 +76,7 @@
     def _acceptable(self, events: int) -> None:
         self.accept(ACCEPTS_A_TURN)
 
-    def accept(self, count: int) -> None:
+    def accept(self, count: int, at_end: bool = False) -> None:
         for _ in range(count):
             if self.listener is None:
                 return
@@ -97,7 +97,7 @@
             self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
             self._readable(client)
             # What waits in the backlog counts as taken: unused connections make room before anything waits there.
-            if len(self.clients) > self.most and not self._evict():
+            if len(self.clients) > self.most and not self._evict() and not at_end:
                 self._pause()
                 return
 
@@ -224,7 +224,7 @@
         self._write(client, encode(status, body, client.keep, after, headers))
 
     def _write(self, client: Client, data: bytes) -> None:
-        client.out += data
+        client.out = data if not client.out else bytes(client.out) + data
         self._flush(client)
 
     def _flush(self, client: Client) -> None:
@@ -236,7 +236,7 @@
             except OSError:
                 self.close(client)
                 return
-            client.out = client.out[sent:]
+            client.out = memoryview(client.out)[sent:] if sent < len(client.out) else b""
         if client.out:
             self._interest(client)
             return
@@ -273,7 +273,7 @@
         if client.exchange is not None:
             exchange, client.exchange = client.exchange, None
             self.ingress.leave(exchange)
-        client.reader.whole.clear()
+        client.reader.close()
         if len(self.clients) < self.most:
             self._accept_on()
 
@@ -298,7 +298,7 @@
 
     def stop_listening(self) -> None:
         """What has reached the backlog is taken in first."""
-        self.accept(4096)
+        self.accept(4096, at_end=True)
         self._accept_off()
         if self.listener is not None:
             self.listener.close()
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -29,7 +29,7 @@
     """Bytes of one connection to whole messages; every part is bounded."""
 
     def __init__(self) -> None:
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.whole: deque[tuple[Payload, bool]] = deque()  # and whether the connection is kept after it
         self.waits_to_continue = False
         self._clear()
@@ -44,6 +44,7 @@
 
     def feed(self, data: memoryview) -> None:
         """Raises Fault. What came whole before the fault stands in `whole`."""
+        assert self._parser is not None
         before = len(self.whole)
         try:
             self._parser.feed_data(data)
@@ -61,6 +62,11 @@
             if self._fed > (WIRE if self._headed else HEAD):
                 raise Fault(413 if self._headed else 431)
 
+    def close(self) -> None:
+        """The parser holds this object: together they would wait for the garbage collector."""
+        self.whole.clear()
+        self._parser = None
+
     def on_message_begin(self) -> None:
         self._clear()
         self.partial = True
@@ -99,6 +105,7 @@
         self._parts.append(part)
 
     def on_message_complete(self) -> None:
+        assert self._parser is not None
         found = Payload(self._parser.get_method(), self._target, self._headers, b"".join(self._parts))
         self.whole.append((found, self._parser.should_keep_alive()))
         self.waits_to_continue = False
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -11,13 +11,15 @@
 from ..metrics import Metrics
 from . import sockets
 from .answers import Malformed, Reply, outcome
-from .http import Payload
+from .http import BODY, Payload
 from .inventory import Inventory
 from .loop import READ, WRITE, Loop, Timer
 from .pool import Pool
 
 RETIRE = 0.6  # of the time after which a sim server closes an unused connection: a message must never cross that
 SWEEP = 1.0
+LARGEST = 4 << 20  # bytes of one answer at most, however much memory there is
+YOUNG, BAD_SHARE, TRIAL, NOTICE = 0.1, 0.1, 16, 0.05  # see Trust
 STALLED = 0.5  # s for the rest of an answer that has begun: one that never ends is spoilt
 
 Key = tuple[str, Address]  # id and address: a new sim server may have the address of one that is gone
@@ -26,13 +28,34 @@
 class Conn:
     """A connection to one sim server: one relay at a time. Owned by Southside, closed in Southside.close alone."""
 
-    __slots__ = ("sock", "key", "relay", "reply", "since", "up")
+    __slots__ = ("sock", "key", "relay", "reply", "since", "up", "age")
 
     def __init__(self, sock: socket.socket, key: Key, now: float) -> None:
         self.sock, self.key, self.since = sock, key, now
         self.relay: Attempt | None = None
         self.reply: Reply | None = None
         self.up = False
+        self.age = 0.0  # s that it had stood unused when its relay was given to it
+
+
+class Trust:
+    """Whether connections that stood unused for long can still be used: some sim servers end them unheard.
+
+    A message on such a connection is reset and may have run, so a new one is cheaper as soon as BAD_SHARE of those
+    older than YOUNG break before a byte of the answer. One in TRIAL is used all the same, to learn that it is over."""
+
+    def __init__(self) -> None:
+        self.bad, self._skipped = 0.0, 0
+
+    def allows(self, age: float) -> bool:
+        if age < YOUNG or self.bad < BAD_SHARE:
+            return True
+        self._skipped = (self._skipped + 1) % TRIAL
+        return not self._skipped
+
+    def learn(self, age: float, broke: bool) -> None:
+        if age >= YOUNG:
+            self.bad += NOTICE * (broke - self.bad)
 
 
 class Attempt:
@@ -61,11 +84,14 @@
 
 class Southside:
     def __init__(self, loop: Loop, pool: Pool, inventory: Inventory, metrics: Metrics, most: int, idle: float,
-                 connect: float, fields: Sequence[str]) -> None:
+                 connect: float, fields: Sequence[str], memory: int) -> None:
         self.loop, self.pool, self.inventory, self.metrics = loop, pool, inventory, metrics
         self.most, self.retire, self.connect, self.fields = most, idle * RETIRE, connect, fields
         self.unused: dict[Key, list[Conn]] = {}  # the last used at the end
         self.count = 0
+        # Bytes of answers not passed on yet: no answer alone, nor all together, may take the memory.
+        self.held, self.budget, self.largest = 0, memory, min(LARGEST, max(BODY, memory // 16))
+        self.trust = Trust()
         loop.call_in(SWEEP, self._sweep)
 
     def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None]) -> Attempt:
@@ -91,7 +117,8 @@
         kept = self.unused.get(key)
         while kept:
             conn = kept.pop()
-            if now - conn.since < self.retire and self._quiet(conn):
+            conn.age = now - conn.since
+            if conn.age < self.retire and self.trust.allows(conn.age) and self._quiet(conn):
                 return conn
             self.close(conn)
         return None
@@ -148,7 +175,7 @@
             self._keep(conn)
             self._end(attempt, RelayEnd("connect_failed"))
             return
-        conn.reply = Reply()
+        conn.reply = Reply(self.largest)
         attempt.out = self._encode(attempt, conn.key[1])
         self._write(conn, attempt)
 
@@ -182,7 +209,14 @@
             if conn.reply is None:  # unused: it has ended, or says what nobody asked for
                 count = -1
             elif count:
-                conn.reply.feed(bytes(memoryview(buffer)[:count]))
+                size = conn.reply.size
+                try:
+                    conn.reply.feed(bytes(memoryview(buffer)[:count]))
+                finally:
+                    self.held += conn.reply.size - size
+                if self.held > self.budget:
+                    self.metrics.add("answers_over_memory")
+                    raise Malformed
             else:
                 conn.reply.end()
         except BlockingIOError:
@@ -195,6 +229,8 @@
         finally:
             self.pool.give(buffer)
         attempt, reply = conn.relay, conn.reply
+        if reply is not None and attempt is not None and (count <= 0 or reply.whole):
+            self.trust.learn(conn.age, count <= 0 and not reply.begun)
         if reply is not None and reply.whole and attempt is not None:
             end = outcome(reply, self.fields)
             if count > 0 and attempt.written and reply.keep:
@@ -218,7 +254,8 @@
     def _keep(self, conn: Conn) -> None:
         if conn.relay is not None:
             conn.relay.conn = None
-        conn.relay = conn.reply = None
+        conn.relay = None
+        self._forget(conn)
         conn.since = self.loop.clock()
         self.unused.setdefault(conn.key, []).append(conn)
         self.loop.want(conn.sock, READ, lambda events: self._event(conn, events))
@@ -243,10 +280,17 @@
         kept = self.unused.get(conn.key)
         if kept and conn in kept:
             kept.remove(conn)
+        self._forget(conn)
         self.loop.want(conn.sock, 0, lambda events: None)
         conn.sock.close()
         self.count -= 1
 
+    def _forget(self, conn: Conn) -> None:
+        """The one place where an answer's bytes are given back."""
+        if conn.reply is not None:
+            self.held -= conn.reply.size
+            conn.reply = None
+
     def stop(self) -> None:
         for kept in list(self.unused.values()):
             for conn in list(kept):
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -60,7 +60,8 @@
         sockets -= min(SPARE, max(16, sockets // SPARE_PART))
         clients = min(sockets * 3 // 5, config.memory_mb * 1024 // MEMORY_PART // CLIENT_KB)
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
-                               config.transport.idle, config.transport.connect, config.transport.fields)
+                               config.transport.idle, config.transport.connect, config.transport.fields,
+                               (config.memory_mb << 20) // MEMORY_PART)
         self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready)
         self.discovery: Any = None
         self.front: Any = None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import errno
+import gc
 import json
 import os
 import signal
 import socket
 import subprocess
 import sys
+import weakref
 from typing import Any
 
 import pytest
@@ -19,6 +21,7 @@
 from brackenpulley.net.counter import Replies
 from brackenpulley.net.counter import encode as encode_call
 from brackenpulley.net.requests import Fault, Reader
+from brackenpulley.net.south import Trust
 
 from .rig import Peer, Rig, rig
 from .test_link import SETTINGS
@@ -300,6 +303,36 @@
         assert wire.answer()[0] == 408 and wire.ended()
 
 
+def test_cancelled_timers_do_not_pile_up() -> None:
+    # Guards against growth: with an hour's X-Timeout each relay left a timer behind for that hour.
+    with rig() as r:
+        seen: list[int] = []
+        kept = [r.daemon.loop.call_in(0.01, lambda: seen.append(1)) for _ in range(3)]
+        for _ in range(5000):
+            r.daemon.loop.call_in(3600.0, lambda: seen.append(2)).cancel()
+        kept[0].cancel()
+        kept[0].cancel()
+        assert len(r.daemon.loop._heap) < 1100
+        r.skip(0.02)
+        assert seen == [1, 1]
+
+
+def test_parsers_are_given_back_without_the_garbage_collector() -> None:
+    # Guards against a cycle for each connection and each chunked answer: they waited for a full collection.
+    reader, reply = Reader(), Reply()
+    reader.feed(memoryview(HEAD))
+    reader.close()
+    reply.feed(CHUNKS)
+    assert reply.whole
+    refs = [weakref.ref(reader), weakref.ref(reply)]
+    gc.disable()
+    try:
+        del reader, reply
+        assert [ref() for ref in refs] == [None, None]
+    finally:
+        gc.enable()
+
+
 def test_a_fault_in_one_callback_ends_nothing_else() -> None:
     with rig() as r:
         loop, seen = r.daemon.loop, list[str]()
@@ -361,6 +394,17 @@
         assert not r.daemon.loop.running
 
 
+def test_what_waits_in_the_backlog_is_taken_in_whatever_the_cap() -> None:
+    with rig() as r:
+        r.daemon.north.most = 1
+        clients = [r.ask(number) for number in (1, 2, 3, 4)]
+        r.daemon.north.stop_listening()
+        assert len(r.daemon.north.clients) == 4
+        r.until(lambda: r.count("messages") == 4)
+        for client in clients:
+            client.close()
+
+
 def test_half_a_message_does_not_keep_the_program_from_ending() -> None:
     with rig() as r:
         wire = r.client().send(HEAD)
@@ -567,6 +611,35 @@
         assert (status, body) == (200, b"ab") and server.ended()
 
 
+def test_a_large_answer_passes_and_what_is_larger_than_the_memory_allows_does_not() -> None:
+    # Guards against the old limit of 64 KiB: answers of 400 KB, usual on some days, were taken for spoilt.
+    with rig(limits={"memory_mb": 64}) as r:
+        body = bytes(range(256)) * 1600
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(H200 + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        assert client.answer()[2] == body and r.daemon.south.held == 0
+        r.daemon.south.budget = 100_000  # as if others held the rest
+        r.ask(2, wire=client)
+        server.answer()
+        server.send(H200 + b"Content-Length: %d\r\n\r\n" % len(body) + body[:150_000])
+        r.until(lambda: r.count("answers_over_memory") == 1)
+        assert r.daemon.south.held == 0 and server.ended()
+
+
+def test_kept_connections_that_break_unheard_are_no_longer_used_when_old() -> None:
+    trust = Trust()
+    assert trust.allows(5.0)
+    for _ in range(5):
+        trust.learn(0.5, True)
+        trust.learn(0.01, False)
+    assert trust.allows(0.05) and [trust.allows(0.5) for _ in range(32)].count(True) == 2
+    for _ in range(30):
+        trust.learn(0.5, False)
+    assert trust.allows(0.5)
+
+
 def test_a_new_id_at_an_old_address_takes_over_no_connection() -> None:
     with rig() as r:
         client = r.ask(1)
