--- a/brackenpulley/net/counter.py
+++ b/brackenpulley/net/counter.py
@@ -16,7 +16,7 @@
 from .pool import Pool
 
 MOST = 256  # calls out at once; further ones are not made
-DEAF = 1.0  # s without the answer to the oldest call: the connection is taken for dead
+DEAF, DEAF_TIMES = 0.1, 4  # s, and time-outs, without the answer to the oldest call: the connection is taken for dead
 UNUSED = 3.0  # s after which a connection is not trusted any more; the counter closes it at about 10 s or less
 AGAIN = 0.05  # s between connects that fail
 LONGEST = 4096  # bytes of one answer at most
@@ -188,7 +188,7 @@
             self.client.end(call, "connect_failed")
             return
         self.client.end(call, "timeout")
-        if self.out and self.client.loop.clock() - self.out[0].at > DEAF:
+        if self.out and self.client.loop.clock() - self.out[0].at > max(DEAF, DEAF_TIMES * self.client.timeout):
             self.broken()
         else:
             self.retire_if_done()
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -325,8 +325,8 @@
 
     def at_work(self, now: float) -> tuple[int, int]:  # in use, and held; the overdue left out
         late = now - SILENT * max(x.mean for x in self.loops.values())
-        up = [s for s in self.up() if not s.aside and s.oldest() > late]
-        return len(up), sum(len(s.out) for s in up)
+        up = [s for s in self.up() if not s.aside and s.unheard() > late]
+        return len(up), sum(s.recent(late) for s in up)
 
     def load(self, now: float, s: Server | None, values: list[float], queue: float = -1.0) -> None:
         for name, v in zip(self.s.report_fields, values, strict=False):
@@ -376,7 +376,7 @@
             queue = (s.queue if now - s.told_at < STALE else self.queue) / CORES
             wait = (1 + (len(s.out) + queue) * self.size / max(s.e.size, 0.01)) / warm
             slow = 1 + (s.slow - 1) * math.exp(min(0.0, s.answered - now) / FADE)
-            wait *= max(slow, (now - s.oldest()) / (SILENT * q.loop.mean)) / (1 - s.err) ** 2
+            wait *= max(slow, (now - s.unheard()) / (SILENT * q.loop.mean)) / (1 - s.err) ** 2
             wait *= (1.0 if s.e.zone == self.s.zone else CROSS) * (1 + 0.05 * self.rng.random())
             if wait < least:
                 best, least = s, wait
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -83,6 +83,19 @@
         """When the oldest attempt that is out was sent."""
         return next(iter(self.out.values()), inf)
 
+    def unheard(self) -> float:
+        """The same where nothing has been answered since: one attempt that hangs does not make a server silent."""
+        return at if (at := self.oldest()) > self.answered else inf
+
+    def recent(self, late: float) -> int:
+        """Attempts out that are not overdue."""
+        overdue = 0
+        for at in self.out.values():
+            if at > late:
+                break
+            overdue += 1
+        return len(self.out) - overdue
+
     def warmth(self, now: float, settings: Settings) -> float:
         """The least share of its capacity that it has by now."""
         age = (now - self.e.started) / settings.cold_time if self.e.started and settings.cold_time else 1.0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -513,6 +513,24 @@
         assert ends[3] == (4, "ok", 2.0)
 
 
+def test_a_counter_connection_that_fell_silent_is_replaced_after_a_few_time_outs() -> None:
+    # Guards against a whole second of lost calls, for which the module then slows all calls down.
+    with rig(counter=True) as r:
+        client = r.daemon.counter
+        assert client is not None
+        r.freeze()
+        ends: list[str] = []
+        client.tell = lambda e: ends.append(e.status)
+        for _ in range(4):
+            client.add(1, 1, 4.0)
+            r.turn()
+            r.step(0.05)
+        r.counter.accept()
+        r.until(lambda: len(ends) == 4)
+        client.add(2, 1, 4.0)
+        r.counter.accept().until(b"$1\r\n2\r\n")
+
+
 def test_a_counter_that_moves_still_answers_what_is_out() -> None:
     with rig(counter=True) as r:
         ends: list[tuple[int, str]] = []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -322,3 +322,17 @@
     d.do(ServerList("changes", [ServerEntry("s0", zone="a", started=d.now)]))
     d.do(ServerList("changes", [ServerEntry("s0", zone="a", started=d.now, state="draining")]))
     assert "s0" not in {a.server for n in range(3) for a in of(Send, d.ask(customer=n))}
+
+
+def test_one_attempt_that_hangs_does_not_make_its_server_silent() -> None:
+    # Guards against refusing nearly all: one silent connection took its server out of the count of those at work.
+    d = Drive(servers=1)
+    d.ask()
+    for _ in range(20):
+        d.now += 0.5
+        sent, = of(Send, d.ask())
+        assert sent.server == "s0"
+        d.do(Outcome(sent.id, "s0", 0, "ok", 0.1, closed=True))
+    assert d.g.at_work(d.now) == (1, 0)
+    d.ask()
+    assert d.g.at_work(d.now) == (1, 1)
