--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -257,7 +257,7 @@
             self.due[c.key] = c
 
     def call(self, now: float) -> None:
-        """One call at a time, the most unsaid first: many at once wait behind each other until all are given up."""
+        """One call at a time, most unsaid first: many at once wait behind each other until all are given up."""
         if now < self.call_at or not (ready := [c for c in self.due.values() if now >= c.next_call]):
             return
         c = max(ready, key=lambda c: c.unsaid / c.plan.burst)
