--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -18,7 +18,7 @@
 STALE = 3.0         # s after which a reading no longer speaks for the other gateways
 EPOCH = 30.0        # s one counter name serves; its life, and an idle customer's, is twice that
 GAP, NOTE_GAP = 0.12, 0.2  # s between calls for one customer, at least, and between notes to peers
-PACE_MIN, PACE_MAX, CALL_SLOW = 0.03, 0.6, 0.8  # s between calls of this gateway; part of the time-out that is slow
+PACE_MIN, PACE_MAX, CALL_SLOW = 0.03, 0.6, 0.8  # s between calls from here; part of the time-out that is slow
 FASTER, SLOWER, BACK = 0.85, 1.15, 1.5  # what a quick, a slow and a lost answer make of that pace
 CALL_PART, CALL_LOW = 0.45, 0.75  # time for a call: so much of the burst unreported by all, or a store so low
 HASTE = 3.0         # usual latencies that a client must still wait: what it gives up on is work for nothing
@@ -97,7 +97,7 @@
         self.pace = self.good = self.out = self.queue = self.warm_rate = self.warm_sent = 0.0
         self.asked: deque[str] = deque(maxlen=3)  # names: a restart makes a new record
         self.token, self.watched, self.watch_at, self.size, self.gap = 0, False, NEVER, 1.0, GAP / 2
-        self.due, self.counting = dict[int, Customer](), -1  # use to be told to the counter; the name of the call out
+        self.due, self.counting = dict[int, Customer](), -1  # whose use is to be told; the call that is out
         self.acts: list[i.Action] = []
         self.does: dict[type, Callable[[float, Any], None]] = {
             i.Request: self.request, i.Outcome: self.outcome, i.Started: self.started, i.Gone: self.gone,
@@ -257,7 +257,7 @@
             self.due[c.key] = c
 
     def call(self, now: float) -> None:
-        """One call at a time, most unsaid first: many at once wait behind each other until all are given up."""
+        """One call at a time, most unsaid first: many at once wait for each other until they are given up."""
         if now < self.call_at or not (ready := [c for c in self.due.values() if now >= c.next_call]):
             return
         c = max(ready, key=lambda c: c.unsaid / c.plan.burst)
