Plans change in service in the module; tries that reached no server return their units

Need: a firm moved from school to county kept its first plan until a minute of idleness (four tries of 2 units, a second later one send and five refusals), and a try whose only attempt ended in connect_failed kept its units taken and told to the counter, though PROTOCOL counts a try once its first attempt has reached a server whole.

Change: on a change of plan the store keeps its debt (what is missing from the full store), here, in the share used without readings and in what was filled since the last reading. Keeping the units left lets a debt vanish on the way down; keeping the part left lets a firm draw 24 units for 6 by going to and fro. A retry never takes the plan back: a marked one not at all, an unmarked one not within the longest deadline. A reading no longer forgives what is owed. New events: PlanFigures, Moved, Reserve, Settle, Allow; new actions: Reserved, Charge. The table of events stands once for all gateways instead of in each.

--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -34,6 +34,7 @@
 CROWD = 0.3         # of the shortest aim that the queue ahead may take: held work makes servers less able
 PACE, STEADY = 2.0, 8.0  # s, and answers where they are few, over which the pace of good ones is taken
 NOT_RUN = ("full", "connect_failed", "moot")  # these prove that the attempt never ran
+NOT_REACHED = ("connect_failed", "moot")  # and these that it never reached a server whole: it takes no units
 
 
 class Loop:  # the rate of one class, tuned on the smoothed 90th percentile of its attempts' latencies
@@ -87,6 +88,7 @@
             aim = min(y.spec.aim for y in self.loops.values() if y.spec.worth >= x.spec.worth)
             x.target, x.part = aim * (AIM_LOW + (AIM_TOP - AIM_LOW) * rank), PART_LOW + (1 - PART_LOW) * rank
         self.aim = min(c.aim for c in settings.classes)
+        self.longest = max(c.deadline for c in settings.classes)
         self.trials_by = "safe" if any(c.effect == "safe" for c in settings.classes) else ""
         self.plans = {p.name: p for p in settings.plans}
         self.customers: dict[int, Customer] = {}
@@ -99,16 +101,12 @@
         self.token, self.watched, self.watch_at, self.size, self.gap = 0, False, NEVER, 1.0, GAP / 2
         self.due, self.counting = dict[int, Customer](), -1  # whose use is to be told; the call that is out
         self.acts: list[i.Action] = []
-        self.does: dict[type, Callable[[float, Any], None]] = {
-            i.Request: self.request, i.Outcome: self.outcome, i.Started: self.started, i.Gone: self.gone,
-            i.ServerList: self.members, i.Probed: self.probed, i.Counted: self.counted, i.PeerNote: self.note,
-            i.Timer: self.beat}
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.acts = []
         if not self.token:
             self.beat(now, i.Timer(0))
-        self.does[type(event)](now, event)
+        DOES[type(event)](self, now, event)
         return self.acts
 
     def request(self, now: float, r: i.Request) -> None:
@@ -116,15 +114,14 @@
         if loop is None or c is None and self.plans:  # a class or plan that the settings do not know
             return self.refuse(r.id, 0.0)
         loop.fill(now)
-        after = self.over_quota(now, c, r) if c else 0.0
+        after = self.over_quota(now, c, r.units - r.held) if c else 0.0
         crowded = after > 0 or loop.tokens < 1 or r.left < HASTE * loop.mean or self.crowded(now, loop)
         if crowded or not self.send(now, q := Held(r, loop, c, now + r.left)):
             return self.refuse(r.id, max(after, (1 - loop.tokens) / loop.rate, loop.mean))
         loop.tokens, loop.sent, self.reqs[r.id] = loop.tokens - 1, loop.sent + 1, q
         if c:
-            c.ceil, c.own, c.tries, c.seen_at = c.ceil - r.units, c.own + r.units, c.tries + 1, now
-            c.take(r.units)
-            self.note_use(now, c)
+            c.tries, q.plan = c.tries + 1, c.plan.name
+            self.hold(now, c, r.units - r.held)
             self.call(now)
 
     def crowded(self, now: float, loop: Loop) -> bool:
@@ -148,6 +145,7 @@
         done = q.tries >= self.s.max_attempts or now >= q.until - self.s.tick
         if done or not (s := self.choose(now, q, group)):
             return False
+        q.first = q.first or now
         q.server, q.sent, q.out, s.out[(q.r.id, q.tries)] = s, now, True, now
         self.warm_sent += s.warmth(now, self.s) == 1
         s.tokens, q.tries = s.tokens - 1, q.tries + 1
@@ -168,6 +166,7 @@
         if c := q.cust:
             c.open -= 1
             if o.cost and self.s.settles:
+                q.cost = o.cost
                 c.take(o.cost - q.r.units)
                 self.note_use(now, c)
             if o.used > 0 and self.s.meter_period and c.plan.rate and not (self.s.counter or self.by_notes):
@@ -177,16 +176,27 @@
             self.judge(now, q, s, o)
         if o.status not in NOT_RUN and q.ran is None:
             q.ran, q.ran_on = q.sent, q.server
+        q.reached = q.reached or o.status not in NOT_REACHED
         if o.closed or q.ended or o.status == "ok":
-            del self.reqs[o.id]
+            self.over(now, q, o.pending)
         elif not self.send(now, q):
-            del self.reqs[o.id]
+            self.over(now, q, False)
             # A refusal says that another try is harmless: if this one may have run, its class must allow it.
             if q.ran is None or spec.effect == "safe" or spec.effect == "keyed" and spec.group == "all":
                 self.refuse(o.id, q.loop.mean)
             else:
                 self.acts.append(i.Fail(o.id))
 
+    def over(self, now: float, q: Held, pending: bool) -> None:
+        """The request is out of hand. A try that reached no server whole has its units returned."""
+        del self.reqs[q.r.id]
+        if not (c := q.cust) or pending:
+            return
+        if not q.reached:
+            self.hold(now, c, -q.r.units)
+        elif self.s.charges:
+            self.acts.append(i.Charge(q.r.id, c.key, q.plan, q.r.revision, q.cost or q.r.units, q.first))
+
     def started(self, now: float, e: i.Started) -> None:
         q = self.reqs.get(e.id)
         if q and q.server and q.out and not q.bound and e.attempt == q.tries - 1:
@@ -198,19 +208,90 @@
             q.ended = True
             self.acts += [i.Cancel(e.id, q.tries - 1)] if self.s.cancel and not q.bound else []
 
-    def customer(self, now: float, r: i.Request) -> Customer | None:
+    def customer(self, now: float, r: i.Request | i.Reserve | i.Allow) -> Customer | None:
         c, plan = self.customers.get(r.customer), self.plans.get(r.plan)
-        if c is None and plan:
-            share, most = plan.burst / max(1, r.spread), self.s.most_units
-            cap, level = (min(plan.burst, max(share, x)) for x in (most * SAVED, most))
-            c = Customer(r.customer, plan, max(1, r.spread), r.first, cap, level, now, now, now, now)
+        if plan is None or c and c.plan is plan:
+            return c
+        if c is None:
+            spread = max(1, r.spread)
+            level = 0.0 if self.s.leased else self.share(plan, spread, self.s.most_units)
+            share = self.share(plan, spread, self.s.most_units * SAVED)
+            c = Customer(r.customer, plan, spread, r.first, share, level, now, now, now, now)
             self.customers[r.customer] = c
+        elif not r.retry and (plan.name != c.left or now >= c.moved_at + self.longest):
+            # A retry may still name the plan that its first try was on, and some are not marked as retries.
+            self.move(now, c, plan)
         return c
 
+    def share(self, plan: i.PlanSpec, spread: int, least: float) -> float:
+        return min(plan.burst, max(plan.burst / spread, least))
+
+    def move(self, now: float, c: Customer, plan: i.PlanSpec) -> None:
+        """Another plan, or other figures of the same: what is missing from the full store goes on missing."""
+        self.fill(now, c)
+        old, old_share, told = c.plan, c.share, now - c.read_at <= STALE
+        c.left, c.moved_at, c.plan = old.name, now, plan
+        c.share = self.share(plan, c.spread, self.s.most_units * SAVED)
+        if not old.rate:  # there was no store that anything could be missing from
+            c.level = 0.0 if self.s.leased else plan.burst if told else c.share
+        elif not self.s.leased:
+            c.level += plan.burst - old.burst if told else c.share - old_share
+        if told:  # the next reading fills at the new rate since the last one: before now it was the old rate
+            c.granted += (plan.rate - old.rate) * (now - c.read_at)
+        if old.ceiling_rate and plan.ceiling_rate:
+            c.ceil += (plan.ceiling_room - old.ceiling_room) / c.spread
+        else:
+            c.ceil, c.ceil_at = 0.0, now
+
+    def figures(self, now: float, e: i.PlanFigures) -> None:
+        self.plans.update({plan.name: plan for plan in e.plans})
+        for c in self.customers.values():
+            if (plan := self.plans[c.plan.name]) is not c.plan:
+                self.move(now, c, plan)
+                c.left = ""
+
+    def moved(self, now: float, e: i.Moved) -> None:
+        c, plan = self.customers.get(e.customer), self.plans.get(e.plan)
+        if c and plan and plan is not c.plan:
+            self.move(now, c, plan)
+            c.left = ""  # the book speaks: nobody names the old plan any more
+
+    def reserve(self, now: float, r: i.Reserve) -> None:
+        """Units for a costly request to come are held as if it were sent now."""
+        c = self.customer(now, r)
+        after = self.over_quota(now, c, r.units) if c else 0.0
+        if c is None and self.plans or after > 0:
+            self.refuse(r.id, after)
+            return
+        if c:
+            self.hold(now, c, r.units)
+        self.acts.append(i.Reserved(r.id))
+
+    def hold(self, now: float, c: Customer, units: float) -> None:
+        c.ceil, c.own, c.seen_at = c.ceil - max(0.0, units), max(0.0, c.own + units), now
+        c.take(units)
+        self.note_use(now, c)
+
+    def settle(self, now: float, e: i.Settle) -> None:
+        """Units that were held are known to be these: the difference is taken or returned."""
+        if c := self.customers.get(e.customer):
+            self.fill(now, c)
+            c.take(e.units - e.held)
+            self.note_use(now, c)
+        if e.units and self.s.charges:
+            self.acts.append(i.Charge(e.id, e.customer, e.plan, e.revision, e.units, e.since))
+
+    def allow(self, now: float, e: i.Allow) -> None:
+        """Leased through the counter, or given back to it: nothing else fills the store."""
+        if c := self.customer(now, e):
+            c.level += e.units
+
     def fill(self, now: float, c: Customer) -> None:
         """Own last use plus an even part of the room left by the last reading; with none, the even share."""
         dt, c.at, c.read_at = now - c.at, now, now if c.spread == 1 else c.read_at
         c.own *= math.exp(-dt)
+        if self.s.leased:
+            return
         if now - c.read_at <= STALE:
             rate, cap = c.own + (c.plan.rate - c.own - c.others) / c.spread, c.plan.burst
         else:
@@ -221,36 +302,40 @@
     def learn(self, now: float, c: Customer, used: float, since: float) -> None:
         """The others have used this much since then: put the store right; none falls below nothing."""
         self.fill(now, c)
-        dt = max(0.0, now - since)
+        dt, least = max(0.0, now - since), min(0.0, c.level)
         if now - c.read_at > STALE:
             c.level += c.plan.burst - c.share - max(0.0, used - c.plan.rate * dt)
         else:
             c.level += c.plan.rate * dt - used - c.granted
-        c.level, c.granted, c.read_at = min(c.plan.burst, max(0.0, c.level)), 0.0, now
+        c.level, c.granted, c.read_at = min(c.plan.burst, max(least, c.level)), 0.0, now
         c.others += dt / (dt + 1.0) * (used / max(dt, BEAT) - c.others)
 
-    def over_quota(self, now: float, c: Customer, r: i.Request) -> float:
+    def over_quota(self, now: float, c: Customer, units: float) -> float:
         """0 where the request may pass, else how long to wait."""
         p = c.plan
         self.fill(now, c)
         if p.ceiling_rate:
             # An earlier life may have spent the ceiling: this life's part starts empty and is its own alone.
-            room = (p.ceiling_burst + p.ceiling_slack / 2) / c.spread
+            room = p.ceiling_room / c.spread
             c.ceil = min(room, c.ceil + p.ceiling_rate / c.spread * (now - max(c.ceil_at, self.born)))
             c.ceil_at = now
-            if c.ceil < r.units:
-                return (r.units - c.ceil) * c.spread / p.ceiling_rate
+            if c.ceil < units:
+                return (units - c.ceil) * c.spread / p.ceiling_rate
         if p.open:
             told = now - c.read_at <= STALE and (self.by_notes or c.spread == 1)
             others = sum(c.others_open.values())  # as told; one more for what they sent on since
             cap = p.open - others - min(1.0, others) if told else math.ceil(p.open / c.spread)
             if c.open >= cap:
                 return BEAT
-        return (r.units - c.level) * c.spread / p.rate if p.rate and c.level < r.units else 0.0
+        return (units - c.level) * c.spread / p.rate if p.rate and c.level < units else 0.0
 
     def note_use(self, now: float, c: Customer) -> None:
         """Use is told to the counter where the customer could come near its quota; nothing waits for it."""
-        if not self.s.counter or self.by_notes or c.spread == 1 or not c.plan.rate or c.unsaid <= 0:
+        if not self.s.counter or self.by_notes or self.s.leased or c.spread == 1 or not c.plan.rate:
+            return
+        if c.unsaid <= 0:  # what was told and is returned is told too
+            self.due.pop(c.key, None)
+            self.due.update({c.key: c} if c.unsaid <= -1 else {})
             return
         cap = c.plan.burst if now - c.read_at <= STALE else c.share
         if c.unsaid >= CALL_PART * c.plan.burst / c.spread or c.tries > 1 and c.level < cap * CALL_LOW:
@@ -260,7 +345,7 @@
         """One call at a time, most unsaid first: many at once wait for each other until they are given up."""
         if now < self.call_at or not (ready := [c for c in self.due.values() if now >= c.next_call]):
             return
-        c = max(ready, key=lambda c: c.unsaid / c.plan.burst)
+        c = max(ready, key=lambda c: abs(c.unsaid) / c.plan.burst)
         del self.due[c.key]
         name = int(now // EPOCH) % (1 << 29) << 33 | c.key % (1 << 33)
         c.total, c.unsure, c.name = c.total * (name == c.name), c.unsure * (name == c.name), name
@@ -458,3 +543,10 @@
         self.call(now)
         if self.by_notes and now - self.note_at >= self.note_gap:
             self.tell(now)
+
+
+DOES: dict[type, Callable[[Gateway, float, Any], None]] = {
+    i.Request: Gateway.request, i.Outcome: Gateway.outcome, i.Started: Gateway.started, i.Gone: Gateway.gone,
+    i.ServerList: Gateway.members, i.Probed: Gateway.probed, i.Counted: Gateway.counted,
+    i.PeerNote: Gateway.note, i.Timer: Gateway.beat, i.PlanFigures: Gateway.figures, i.Moved: Gateway.moved,
+    i.Reserve: Gateway.reserve, i.Settle: Gateway.settle, i.Allow: Gateway.allow}
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -58,6 +58,11 @@
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
 
+    @property
+    def ceiling_room(self) -> float:
+        """Units below which a ceiling's store is never taken; half of the slack is left for what crosses."""
+        return self.ceiling_burst + self.ceiling_slack / 2
+
     def __post_init__(self) -> None:
         at = f"plans[{self.name}]."
         _need(isinstance(self.name, str) and bool(self.name), "plans[].name", self.name)
@@ -95,6 +100,8 @@
     peer_per_s: float = 0.0
     report_fields: list[str] = field(default_factory=list)
     report_via: str = "none"  # "answers" | "probe" | "none"
+    charges: bool = False  # tell by Charge what each try used in the end
+    leased: bool = False  # a customer's store is filled by Allow alone
 
     def __post_init__(self) -> None:
         _need(bool(self.classes), "classes", self.classes)
@@ -143,6 +150,8 @@
     first: int = 0  # the first of them; the rest count round
     retry: bool = False
     write: bool = False
+    held: float = 0.0  # units that a reservation holds for it already
+    revision: int = 0  # of the plan book, for Charge
 
 
 @dataclass(slots=True)
@@ -156,6 +165,7 @@
     used: int = 0
     cost: float = 0.0
     load: list[float] = field(default_factory=list)
+    pending: bool = False  # its units stay held until Settle: the end of this attempt is not seen here
 
 
 @dataclass(slots=True)
@@ -200,7 +210,61 @@
     token: int
 
 
-Event = ServerList | Request | Outcome | Started | Gone | Probed | Counted | PeerNote | Timer
+@dataclass(slots=True)
+class PlanFigures:
+    """From now on these plans have these figures."""
+
+    plans: list[PlanSpec]
+
+
+@dataclass(slots=True)
+class Moved:
+    """From now on the customer is on this plan."""
+
+    customer: int
+    plan: str
+
+
+@dataclass(slots=True)
+class Reserve:
+    """Hold units for a request to come: answered by Reserved or Refuse."""
+
+    id: str
+    customer: int
+    plan: str
+    units: float
+    spread: int = 1
+    first: int = 0
+    retry: bool = False
+
+
+@dataclass(slots=True)
+class Settle:
+    """Units held since `since` turned out to be these; 0 = it never ran, all is returned."""
+
+    id: str
+    customer: int
+    plan: str
+    revision: int
+    held: float
+    units: float
+    since: float
+
+
+@dataclass(slots=True)
+class Allow:
+    """Units leased for a customer (or, below 0, given up) where `leased` is set."""
+
+    customer: int
+    plan: str
+    units: float
+    spread: int = 1
+    first: int = 0
+    retry: bool = False
+
+
+Event = (ServerList | Request | Outcome | Started | Gone | Probed | Counted | PeerNote | Timer | PlanFigures | Moved
+         | Reserve | Settle | Allow)
 
 
 # Actions
@@ -269,4 +333,21 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Count | Tell | SetTimer | Watch | Fetch | Log
+@dataclass(slots=True)
+class Reserved:
+    id: str
+
+
+@dataclass(slots=True)
+class Charge:
+    """What a try, or a reservation, used in the end; once for each, and never for what reached no server whole."""
+
+    id: str
+    customer: int
+    plan: str
+    revision: int
+    units: float
+    since: float  # when the units were first taken
+
+
+Action = Send | Refuse | Fail | Cancel | Probe | Count | Tell | SetTimer | Watch | Fetch | Log | Reserved | Charge
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -44,6 +44,8 @@
     tries: int = 0
     ceil: float = 0.0
     ceil_at: float = NEVER
+    left: str = ""  # the plan it was on before
+    moved_at: float = NEVER
 
     def take(self, units: float) -> None:
         self.level, self.used, self.unsaid = self.level - units, self.used + units, self.unsaid + units
@@ -123,6 +125,10 @@
     out: bool = False
     bound: bool = False  # a stream flows
     ended: bool = False
+    first: float = 0.0  # when the first attempt was sent
+    reached: bool = False  # an attempt may have reached a server whole: the units are taken
+    cost: float = 0.0  # true units, once told
+    plan: str = ""  # the customer's when it was let in
 
 
 def pack_note(rows: Iterable[tuple[int, int, int]]) -> list[str]:
