--- a/brackenpulley/__main__.py
+++ b/brackenpulley/__main__.py
@@ -1,6 +1,6 @@
 """python -m brackenpulley"""
 
-from .cli import app
+from .cli import main
 
 if __name__ == "__main__":
-    app(prog_name="brackenpulley")
+    main()
--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import os
 import sys
 from typing import Annotated
@@ -55,6 +56,34 @@
           f"listens at {told.listen[0]}:{told.listen[1]}")
 
 
+@app.command()
+def demo(seconds: Annotated[float, typer.Option(help="How long traffic is served.")] = 60.0,
+         seed: Annotated[int, typer.Option(help="Of the traffic.")] = 1,
+         as_json: Annotated[bool, typer.Option("--json", help="The summary as JSON.")] = False) -> None:
+    """One daemon among stand-ins, with no file: traffic, a change of plan, export; exit code 0 if all agree."""
+    try:
+        from .commands.demo import run
+    except ImportError as error:
+        raise _fail(ConfigError(f"demo: {error.name} is not installed; see requirements-fleet.txt")) from None
+    raise typer.Exit(run(seconds, seed, as_json))
+
+
+GROUPS = ("control", "ledger", "plans", "reservations")  # of commands, in brackenpulley.commands
+
+
+def main() -> None:
+    """Loads the group that is called, or all where only help is wanted: `serve` pays for none of them."""
+    called = [word for word in sys.argv[1:2] if word in GROUPS]
+    for name in called or (GROUPS if len(sys.argv) < 2 or sys.argv[1] == "--help" else ()):
+        try:
+            app.add_typer(importlib.import_module(f".commands.{name}", __package__).app, name=name)
+        except ImportError as error:
+            if called:
+                raise SystemExit(f"brackenpulley: {name}: {error.name} is not installed; see requirements-fleet.txt"
+                                 ) from None
+    app(prog_name="brackenpulley")
+
+
 @app.command()
 def version() -> None:
     """Print the version, and those of the libraries it runs on."""
--- /dev/null
+++ b/brackenpulley/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of commands, a file each; `cli` loads the one that is called."""
--- /dev/null
+++ b/brackenpulley/commands/ledger.py
@@ -0,0 +1,165 @@
+"""ledger show|entries|verify|export|push|replay"""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Annotated, Any
+
+import typer
+
+from ..address import ConfigError
+from ..ledger.store import LedgerError, Store
+from ..ledger.tally import MICRO
+from .common import AsJson, Where, call, controls, fail, show
+
+app = typer.Typer(no_args_is_help=True, help="Counted use, and its way to billing.")
+Path = Annotated[str, typer.Option("--path", help="The ledger's folder, as in the operator's file.")]
+EVERY = 500  # entries between moves of the progress bar
+
+
+def _open(path: str, write: bool = False) -> Store:
+    try:
+        if not path:
+            raise LedgerError("--path: not given; the ledger's folder, as in the operator's file")
+        if write:
+            reader = Store(path)
+            name = reader.heads().ingress
+            reader.end(None)
+            return Store(path, name)
+        return Store(path)
+    except LedgerError as error:
+        raise fail(str(error)) from None
+
+
+def _progress(what: str, total: int) -> tuple[Any, Any]:
+    from rich.console import Console
+    from rich.progress import Progress
+    bar = Progress(console=Console(stderr=True), disable=not sys.stderr.isatty())
+    return bar, bar.add_task(what, total=max(1, total))
+
+
+@app.command("show")
+def show_state(path: Path = "", control: Where = [], as_json: AsJson = False) -> None:  # noqa: B006
+    """Where the ledger stands, from a daemon (--control) or its folder (--path)."""
+    if path:
+        store = _open(path)
+        heads = store.heads()
+        sums = store.sums()
+        found = {"ingress": heads.ingress, "epoch": heads.epoch, "countedUnits": heads.counted / MICRO,
+                 "tries": heads.tries, "openUnits": sum(one.units for one in sums.values()) / MICRO,
+                 "openSums": len(sums), "nextEntry": heads.next_seq, "acknowledged": heads.acked,
+                 "backlog": heads.backlog, "firstKept": heads.first, "bytes": store.used_bytes()}
+        store.end(None)
+    else:
+        found = call(controls(control)[0], "GET", "/v1/ledger")
+    show(found, as_json, ["", ""], [[name, json.dumps(value) if isinstance(value, dict) else value]
+                                    for name, value in found.items()])
+
+
+@app.command()
+def entries(path: Path = "", first: Annotated[int, typer.Option("--from")] = 1, most: int = 20,
+            as_json: AsJson = False) -> None:
+    """Entries, from a sequence number on."""
+    from ..ledger.files import COLUMNS, csv_row
+    from ..ledger.upload import event
+    store = _open(path)
+    found = list(store.entries(first, most))
+    store.end(None)
+    show([event(one) for one in found], as_json, list(COLUMNS), [csv_row(one) for one in found])
+
+
+@app.command()
+def verify(path: Path = "", as_json: AsJson = False) -> None:
+    """Check the whole store: sums, gaps, entries exported twice. Exit code 1 with the first fault named."""
+    store = _open(path)
+    seen, fault = 0, ""
+    try:
+        heads = store.heads()
+        bar, task = _progress("verifying", heads.next_seq - heads.first)
+        with bar:
+            for found, seen in store.verify():
+                if found:
+                    fault = found
+                    break
+                if seen % EVERY == 0:
+                    bar.update(task, completed=seen)
+    except LedgerError as error:
+        raise fail(str(error)) from None
+    finally:
+        store.end(None)
+    result = {"entries": seen, "countedUnits": heads.counted / MICRO, "good": not fault, "fault": fault or None}
+    if fault and not as_json:
+        raise fail(f"ledger: {fault}", 1)
+    show(result, as_json, ["entries", "counted units", "verdict"], [[seen, heads.counted / MICRO, "good"]])
+    if fault:
+        raise typer.Exit(1)
+
+
+@app.command()
+def export(out: Annotated[str, typer.Option("--out", help="The file; one that is there is gone on with.")],
+           path: Path = "", kind: Annotated[str, typer.Option("--format", help="jsonl or csv.")] = "jsonl",
+           first: Annotated[int, typer.Option("--from", help="The first entry; else the first that is kept.")] = 0,
+           as_json: AsJson = False) -> None:
+    """Write entries to a file. An interrupted export is gone on with by the same command."""
+    from ..ledger.files import export as write
+    if kind not in ("jsonl", "csv"):
+        raise fail(f"--format: {kind!r} is neither jsonl nor csv")
+    store = _open(path)
+    count = 0
+    try:
+        heads = store.heads()
+        bar, task = _progress("exporting", heads.next_seq - heads.first)
+        with bar:
+            for count in write(store, out, kind, first or heads.first):
+                bar.update(task, completed=count)
+    except (LedgerError, OSError) as error:
+        raise fail(str(error), 1) from None
+    finally:
+        store.end(None)
+    show({"file": out, "entries": count}, as_json, ["file", "entries"], [[out, count]])
+
+
+@app.command()
+def push(url: Annotated[str, typer.Option(help="Billing: http://address:port/path")], path: Path = "",
+         batch: int = 100, patience: Annotated[float, typer.Option(help="Seconds without an entry taken.")] = 30.0,
+         as_json: AsJson = False) -> None:
+    """Send a stopped daemon's entries to billing, under the ids that they have."""
+    from ..ledger.push import push as send
+    from ..operator import billing_address
+    try:
+        at, target = billing_address(url, "--url")
+    except ConfigError as error:
+        raise fail(str(error)) from None
+    store = _open(path, write=True)
+    taken = 0
+    try:
+        heads = store.heads()
+        bar, task = _progress("sending", heads.backlog)
+        with bar:
+            for taken, _ in send(store, at, target, batch, patience):
+                bar.update(task, completed=taken)
+    except LedgerError as error:
+        raise fail(str(error), 1) from None
+    finally:
+        store.end(None)
+    show({"taken": taken}, as_json, ["entries taken"], [[taken]])
+
+
+@app.command()
+def replay(first: Annotated[int, typer.Option("--from", help="The first entry that billing lost.")],
+           control: Where = [], path: Path = "", as_json: AsJson = False) -> None:  # noqa: B006
+    """Send entries again, under the ids that they have: billing was restored from an older backup."""
+    if path:
+        store = _open(path, write=True)
+        try:
+            heads, _, _ = store.begin()
+            store.replay(heads, first)
+        except LedgerError as error:
+            raise fail(str(error), 1) from None
+        finally:
+            store.end(None)
+        found: Any = {"acknowledged": heads.acked, "backlog": heads.backlog}
+    else:
+        found = call(controls(control)[0], "POST", "/v1/ledger/replay", {"from": first})
+    show(found, as_json, ["acknowledged", "to send"], [[found["acknowledged"], found["backlog"]]])
--- /dev/null
+++ b/brackenpulley/control/api.py
@@ -0,0 +1,275 @@
+"""Requests of the control API: typed decoding, one table of routes, errors that name the field. No I/O.
+
+A fault is `{"error": {"field": ..., "text": ...}}` with a 4xx, or a 5xx where the machine is at fault, and then nothing
+was changed. Every call may be repeated: what was done already is answered as it was the first time."""
+
+from __future__ import annotations
+
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import msgspec
+
+T = TypeVar("T")
+At = re.compile(r" - at `\$\.?(.*)`$")
+
+
+class ApiError(Exception):
+    """An answer other than 2xx."""
+
+    def __init__(self, status: int, field: str, text: str, after: float = 0.0) -> None:
+        super().__init__(text)
+        self.status, self.field, self.text, self.after = status, field, text, after
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+    parts: tuple[str, ...] = ()  # what stands for the {} of the route
+
+
+@dataclass(slots=True)
+class Reply:
+    status: int
+    body: bytes
+    after: float = 0.0
+
+
+def decode(body: bytes, kind: type[T]) -> T:
+    """Raises ApiError that names the field."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.ValidationError as error:
+        text = str(error)
+        if found := At.search(text):
+            raise ApiError(400, found[1] or "body", text[:found.start()]) from None
+        if found := re.search(r"(?:missing required|contains unknown) field `([^`]+)`", text):
+            raise ApiError(400, found[1], "missing" if "missing" in text else "no such field") from None
+        raise ApiError(400, "body", text) from None
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ApiError(400, "body", f"not JSON: {error}") from None
+
+
+Handler = Callable[[Request], Any]
+
+
+@dataclass(slots=True)
+class Routes:
+    """Paths with `{}` for one part each. Each optional part of the daemon adds its own rows."""
+
+    rows: dict[str, dict[str, Handler]] = field(default_factory=dict)
+
+    def add(self, method: str, path: str, handler: Handler) -> None:
+        self.rows.setdefault(path, {})[method] = handler
+
+    def answer(self, method: str, target: str, body: bytes) -> Reply:
+        path, _, query = target.partition("?")
+        try:
+            found = self._find(path)
+            if found is None:
+                raise ApiError(404, "path", f"no {path[:100]}; there are {', '.join(sorted(self.rows))}")
+            methods, parts = found
+            if method not in methods:
+                raise ApiError(405, "method", f"{method[:20]}: {path[:100]} takes {', '.join(sorted(methods))}")
+            told = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
+            answer = methods[method](Request(method, path, told, body, parts))
+            status, found_body = answer if isinstance(answer, tuple) else (200, answer)
+            return Reply(status, msgspec.json.encode(found_body) + b"\n")
+        except ApiError as error:
+            shown = {"error": {"field": error.field, "text": error.text}}
+            return Reply(error.status, msgspec.json.encode(shown) + b"\n", error.after)
+
+    def _find(self, path: str) -> tuple[dict[str, Handler], tuple[str, ...]] | None:
+        if path in self.rows:
+            return self.rows[path], ()
+        parts = path.split("/")
+        for pattern, methods in self.rows.items():
+            wanted = pattern.split("/")
+            if "{}" in wanted and len(wanted) == len(parts) and all(
+                    w in ("{}", p) for w, p in zip(wanted, parts, strict=True)):
+                return methods, tuple(p for w, p in zip(wanted, parts, strict=True) if w == "{}")
+        return None
+
+
+class ReserveCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    id: str
+    firm: str
+    units: float
+    lifetime: float  # s
+    plan: str = ""  # where the book does not know the firm
+    spread: int = 1
+    first: int = 0
+
+
+class CommitCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    units: float
+
+
+class ReplayCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    seq: int = msgspec.field(name="from")
+
+
+def whole(request: Request, name: str, default: int, least: int, most: int) -> int:
+    text = request.query.get(name, str(default))
+    if not (text.isascii() and text.isdigit() and least <= int(text[:12]) <= most):
+        raise ApiError(400, name, f"{text[:40]!r} is no whole number from {least} to {most}")
+    return int(text)
+
+
+def plan_routes(routes: Routes, service: Any) -> None:
+    """`service` is a plans.service.PlanService."""
+    from ..plans.book import BookError, Change, firm_of, firm_text
+
+    def shown(plan: str, when: float) -> dict[str, Any] | None:
+        held = service.book.figures(plan, when)
+        if held is None:
+            return None
+        spec = held[1]
+        return {"plan": plan, "revision": held[0], "rate": spec.rate, "burst": spec.burst, "open": spec.open,
+                "price": spec.price, "over_worth": spec.over_worth, "over_cost": spec.over_cost,
+                "ceiling_rate": spec.ceiling_rate, "ceiling_burst": spec.ceiling_burst,
+                "ceiling_slack": spec.ceiling_slack}
+
+    def moment(request: Request) -> float:
+        text = request.query.get("when", "")
+        try:
+            return float(text) if text else float(service.loop.clock())
+        except ValueError:
+            raise ApiError(400, "when", f"{text[:40]!r} is no Unix time") from None
+
+    def plans(request: Request) -> Any:
+        when = moment(request)
+        return {"revision": service.book.revision, "when": when,
+                "plans": [row for plan in service.book.plans if (row := shown(plan, when))],
+                "firms": len(service.book.firms)}
+
+    def plan(request: Request) -> Any:
+        row = shown(request.parts[0], moment(request))
+        if row is None:
+            raise ApiError(404, "plan", f"no plan {request.parts[0][:40]!r}; there are {', '.join(service.book.plans)}")
+        return row
+
+    def firm(request: Request) -> Any:
+        try:
+            number = firm_of(request.parts[0])
+        except BookError as error:
+            raise ApiError(error.status, error.field, error.text) from None
+        name, revision = service.book.plan_of(number, moment(request))
+        return {"firm": firm_text(number), "plan": name or None, "revision": revision}
+
+    def history(request: Request) -> Any:
+        try:
+            changes = service.book.history(request.query.get("plan", ""), request.query.get("firm", ""))
+        except BookError as error:
+            raise ApiError(error.status, error.field, error.text) from None
+        after, most = whole(request, "after", 0, 0, 1 << 40), whole(request, "most", 200, 1, 1000)
+        rows = [change for change in changes if change.revision > after]
+        return {"revision": service.book.revision, "withdrawn": sorted(service.book.withdrawn),
+                "changes": rows[:most], "more": len(rows) > most}
+
+    def change(request: Request) -> Any:
+        told = decode(request.body, Change)
+        try:
+            fresh = service.change(told)
+        except BookError as error:
+            raise ApiError(error.status, error.field, error.text) from None
+        return 201 if fresh else 200, {"revision": told.revision, "taken": "now" if fresh else "before"}
+
+    routes.add("GET", "/v1/plans", plans)
+    routes.add("GET", "/v1/plans/{}", plan)
+    routes.add("GET", "/v1/firms/{}", firm)
+    routes.add("GET", "/v1/changes", history)
+    routes.add("POST", "/v1/changes", change)
+
+
+def reservation_routes(routes: Routes, service: Any) -> None:
+    """`service` is a plans.service.ReservationService."""
+    from ..plans.book import BookError, firm_of
+    from ..plans.reservations import ReservationError
+    from ..plans.service import row
+
+    def guard(call: Callable[[], T]) -> T:
+        try:
+            return call()
+        except (ReservationError, BookError) as error:
+            raise ApiError(error.status, error.field, error.text) from None
+
+    def listed(request: Request) -> Any:
+        now = service.loop.clock()
+        most = whole(request, "most", 200, 1, 10_000)
+        held = service.table.held()
+        return {"held": len(held), "units": service.table.units_held(), "reservations": [
+            row(one, now) for one in held[:most]]}
+
+    def reserve(request: Request) -> Any:
+        told = decode(request.body, ReserveCall)
+        one, after = guard(lambda: service.reserve(told.id, firm_of(told.firm), told.plan, told.units, told.lifetime,
+                                                   told.spread, told.first))
+        if one is None:
+            raise ApiError(429, "units", f"not within the firm's allowance now; come back in {after:.3f} s", after)
+        return 201, row(one, service.loop.clock())
+
+    def known(request: Request) -> Any:
+        one = service.table.known(request.parts[0])
+        if one is None:
+            raise ApiError(404, "id", f"no reservation {request.parts[0][:70]}")
+        return row(one, service.loop.clock())
+
+    def commit(request: Request) -> Any:
+        told = decode(request.body, CommitCall)
+        return row(guard(lambda: service.commit(request.parts[0], told.units)), service.loop.clock())
+
+    def release(request: Request) -> Any:
+        return row(guard(lambda: service.release(request.parts[0])), service.loop.clock())
+
+    routes.add("GET", "/v1/reservations", listed)
+    routes.add("POST", "/v1/reservations", reserve)
+    routes.add("GET", "/v1/reservations/{}", known)
+    routes.add("POST", "/v1/reservations/{}/commit", commit)
+    routes.add("POST", "/v1/reservations/{}/release", release)
+
+
+def ledger_routes(routes: Routes, service: Any) -> None:
+    """`service` is a ledger.service.LedgerService."""
+    from ..ledger.store import LedgerError
+    from ..ledger.upload import event
+
+    def entries(request: Request) -> Any:
+        first = whole(request, "from", 1, 1, 1 << 60)
+        most = whole(request, "most", 100, 1, 1000)
+        return {"entries": [event(one) for one in service.store.entries(first, most)]}
+
+    def replay(request: Request) -> Any:
+        told = decode(request.body, ReplayCall)
+        try:
+            service.replay(told.seq)
+        except LedgerError as error:
+            field, _, text = str(error).partition(": ")
+            raise ApiError(409, field if field == "from" else "ledger", text) from None
+        return service.status()
+
+    routes.add("GET", "/v1/ledger", lambda request: service.status())
+    routes.add("GET", "/v1/ledger/entries", entries)
+    routes.add("POST", "/v1/ledger/replay", replay)
+
+
+def common_routes(routes: Routes, daemon: Any) -> None:
+    began = time.monotonic()
+
+    def status(request: Request) -> Any:
+        parts = {"plans": daemon.plans, "reservations": daemon.reservations, "leases": daemon.leases,
+                 "ledger": daemon.ledger}
+        return {"name": daemon.config.name, "upSeconds": round(time.monotonic() - began, 3),
+                "ready": daemon.ready() and not daemon.ending, "ending": daemon.ending,
+                "held": len(daemon.ingress.held), "clients": len(daemon.north.clients),
+                "servers": len(daemon.inventory),
+                **{name: part.status() for name, part in parts.items() if part is not None}}
+
+    routes.add("GET", "/v1/status", status)
+    routes.add("GET", "/v1/counters", lambda request: daemon.metrics.table())
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from ..metrics import Metrics
 from ..policy import interface as i
 from ..policy.brain import Gateway
-from .exchange import Answer, Authoriser, Exchange, RelayEnd, South, Verdict
+from .exchange import Answer, Asking, Authoriser, Exchange, RelayEnd, South, Verdict
 from .message import Message, check
 
+UNSTORED = 1.0  # s to stay away while use cannot be stored
+
 
 class Timers(Protocol):
     def call_at(self, when: float, call: Callable[[], None]) -> Any:
@@ -22,6 +24,48 @@
     def add(self, name: int, amount: float, ttl: float) -> None: ...
 
 
+class Plans(Protocol):
+    def plan_of(self, customer: int, told: str) -> tuple[str, int]:
+        """The plan that the book has a customer on now, and the book's revision that says so."""
+
+
+class Ledger(Protocol):
+    @property
+    def refuses(self) -> bool:
+        """Nothing can be stored, and the operator wants nothing served then."""
+
+    def charge(self, a: i.Charge) -> None: ...
+
+    def answer(self, reply: Callable[[Answer], None], answer: Answer) -> None:
+        """`reply` is called with the answer in this turn, once the use of the turn is stored."""
+
+
+class Holds(Protocol):
+    """Explicit reservations."""
+
+    def pays(self, message: Message) -> float:
+        """Units that the reservation it names holds for this message; 0 = none."""
+
+    def used(self, message: Message) -> None:
+        """The message was sent on and takes the reservation's units over."""
+
+    def granted(self, message: Message) -> bool:
+        """The message runs where its end is not seen; False where its units are not held from here on."""
+
+
+class Leases(Protocol):
+    def ask(self, message: Message, done: Callable[[], None]) -> Asking | None:
+        """None where the module can decide now; else `done` is called once, unless it is dropped."""
+
+    def counted(self, event: i.Counted) -> None: ...
+
+    def settled(self, customer: int) -> None:
+        """True costs are in: the customer's store may be below nothing."""
+
+    def moved(self, customers: Iterable[int]) -> None:
+        """Their plans, or the figures of these, have changed."""
+
+
 class Log(Protocol):
     def info(self, event: str, **more: Any) -> Any: ...
     def exception(self, event: str, **more: Any) -> Any: ...
@@ -38,33 +82,63 @@
         self.listed = False
         self.authoriser: Authoriser | None = None
         self.fail_open = False  # without a verdict the module decides; else the message is turned away
+        self.plans: Plans | None = None
+        self.ledger: Ledger | None = None
+        self.holds: Holds | None = None
+        self.leases: Leases | None = None
+        self._reserving: i.Reserved | i.Refuse | None = None  # what the module says to the reservation just asked for
         self.watch: Callable[[], None] = lambda: None  # the inventory watches by itself where changes are pushed
         self._events: deque[i.Event] = deque()
         self._busy = False
         self._does: dict[type, Callable[[Any], None]] = {
             i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.Cancel: self._cancel,
             i.Count: self._count, i.SetTimer: self._timer, i.Watch: lambda a: self.watch(),
-            i.Fetch: lambda a: self.watch(), i.Log: lambda a: self.log.info("module", text=a.text)}
+            i.Fetch: lambda a: self.watch(), i.Log: lambda a: self.log.info("module", text=a.text),
+            i.Charge: self._charge, i.Reserved: self._reserved}
 
     def take(self, message: Message, reply: Callable[[Answer], None], south: South) -> Exchange | None:
         """A message was taken in; None (and nothing owed) if its id is in hand already. Raises MessageError."""
-        check(message, self.gateway.s)
+        if self.plans is not None:
+            message.plan, message.revision = self.plans.plan_of(message.customer, message.told)
+        check(message, self.gateway.s, self.gateway.plans)
         if message.id in self.held:
             return None
         self.metrics.add("messages")
+        if (ledger := self.ledger) is not None:
+            at_once = reply
+
+            def reply(answer: Answer) -> None:
+                ledger.answer(at_once, answer)
+
         exchange = Exchange(message, self.clock() + message.left, reply, south)
         self.held[message.id] = exchange
-        if self.authoriser is None:
+        if ledger is not None and ledger.refuses:
+            self.metrics.add("refused_unstored")
+            self._finish(exchange, Answer("back-off", 503, UNSTORED if self.gateway.s.retry_after else 0.0))
+        elif self.authoriser is None:
             self._admit(exchange)
         else:
             exchange.asking = self.authoriser.ask(message, message.left, lambda verdict: self._heard(exchange, verdict))
         return exchange
 
     def _admit(self, exchange: Exchange) -> None:
-        """The module decides, with the time that remains."""
+        """The module decides, with the time that remains; where allowance is leased, once some is there."""
+        if self.leases is not None:
+            exchange.asking = self.leases.ask(exchange.message, lambda: self._decide(exchange))
+            if exchange.asking is not None:
+                return
+        self._decide(exchange)
+
+    def _decide(self, exchange: Exchange) -> None:
+        exchange.asking = None
         m = exchange.message
         left = max(0.0, exchange.until - self.clock())
-        self._put(i.Request(m.id, m.cls, m.plan, m.customer, left, m.units, m.spread, m.first, m.retry))
+        event = i.Request(m.id, m.cls, m.plan, m.customer, left, m.units, m.spread, m.first, m.retry)
+        if self.plans is not None:  # it may have waited for a verdict over the instant of a change
+            event.plan, event.revision = m.plan, m.revision = self.plans.plan_of(m.customer, m.told)
+        if self.holds is not None and m.reservation:
+            event.held = self.holds.pays(m)
+        self._put(event)
 
     def _heard(self, exchange: Exchange, verdict: Verdict) -> None:
         exchange.asking = None
@@ -97,7 +171,27 @@
         self._put(change)
 
     def counted(self, event: i.Counted) -> None:
+        if self.leases is not None:
+            self.leases.counted(event)
+        else:
+            self._put(event)
+
+    def tell(self, event: i.PlanFigures | i.Moved | i.Settle | i.Allow) -> None:
+        """What the plan book, a reservation's end or a lease has for the module."""
+        self._put(event)
+
+    def reserve(self, event: i.Reserve) -> i.Reserved | i.Refuse:
+        """Ask the module to hold units. Never called from within the module's actions."""
+        self._reserving = None
         self._put(event)
+        return self._reserving or i.Refuse(event.id)
+
+    def _reserved(self, a: i.Reserved) -> None:
+        self._reserving = a
+
+    def _charge(self, a: i.Charge) -> None:
+        if self.ledger is not None:
+            self.ledger.charge(a)
 
     def _put(self, event: i.Event) -> None:
         """Events that arise while the module's actions are carried out wait until these are done."""
@@ -130,6 +224,8 @@
         until = min(exchange.until, now + a.timeout) if a.timeout > 0 else exchange.until
         exchange.timer = self.timers.call_at(until, lambda: self._expired(exchange))
         self.metrics.add("relays")
+        if self.holds is not None and exchange.attempt < 0 and exchange.message.reservation:
+            self.holds.used(exchange.message)
         exchange.relay(a.server, now, until - now, lambda n, end: self._ended(exchange, n, end))
 
     def _ended(self, exchange: Exchange, attempt: int, end: RelayEnd) -> None:
@@ -147,12 +243,15 @@
             # The attempt runs where this ingress cannot see it. "cancelled" is the one outcome that the module takes
             # without judging the server or learning a latency; the units stay taken as guessed.
             event.status, event.closed = "cancelled", True
+            event.pending = self.holds is not None and self.holds.granted(m)
             if not exchange.over:
                 self.metrics.add("granted")
                 exchange.answer(Answer("granted", 200, server=exchange.server))
         exchange.settle()
         self._release(exchange)
         self._put(event)
+        if self.leases is not None and end.cost:
+            self.leases.settled(m.customer)
 
     def _expired(self, exchange: Exchange) -> None:
         # A connection that never came up, or took only a part, proves that the attempt never ran.
@@ -168,6 +267,8 @@
     def _refuse(self, a: i.Refuse) -> None:
         if exchange := self.held.get(a.id):
             self._finish(exchange, Answer("back-off", 503 if exchange.attempt >= 0 else 429, a.after))
+        else:
+            self._reserving = a
 
     def _fail(self, a: i.Fail) -> None:
         if exchange := self.held.get(a.id):
--- a/brackenpulley/core/message.py
+++ b/brackenpulley/core/message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,6 +31,9 @@
     first: int
     retry: bool
     payload: Any = None  # what a relay passes on; the core does not look inside
+    reservation: str = ""  # whose units pay for it
+    revision: int = 0  # of the plan book, when it was decided on
+    told: str = ""  # the plan as the client named it
 
 
 def duration(text: str, name: str = "x-timeout") -> float:
@@ -53,11 +56,11 @@
     return float(found.get("units", 1)), found.get("spread", 1), found.get("first", 0)
 
 
-def check(m: Message, s: Settings) -> None:
+def check(m: Message, s: Settings, plans: Container[str]) -> None:
     """What the settings leave no room for never reaches the module: it would spoil a customer's quota and estimates."""
     if all(c.name != m.cls for c in s.classes):
         raise MessageError(f"x-priority-class: no class {m.cls[:40]!r}")
-    if s.plans and all(p.name != m.plan for p in s.plans):
+    if s.plans and m.plan not in plans:
         raise MessageError(f"x-tariff: no plan {m.plan[:40]!r}")
     if not 1 <= m.units <= s.most_units:
         raise MessageError(f"x-weight: units is {m.units:g}, not from 1 to {s.most_units:g}")
@@ -81,4 +84,5 @@
     units, spread, first = weight(headers.get("x-weight", ""))
     left = max(0.0, duration(headers["x-timeout"]) - MARGIN)
     retry = headers.get("x-retried") == "1"
-    return Message(ident, cls, headers.get("x-tariff", ""), customer, left, units, spread, first, retry, payload)
+    return Message(ident, cls, headers.get("x-tariff", ""), customer, left, units, spread, first, retry, payload,
+                   headers.get("x-reservation", ""), told=headers.get("x-tariff", ""))
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -180,10 +180,13 @@
         self._write(conn, attempt)
 
     def _encode(self, attempt: Attempt, at: Address) -> bytes:
-        payload: Payload = attempt.message.payload
+        message = attempt.message
+        payload: Payload = message.payload
         wait = max(1, int(1000 * (attempt.until - self.loop.clock())))
         lines = [b"%s %s HTTP/1.1\r\nHost: %s:%d\r\nX-Timeout: %dm\r\n" % (
             payload.method, payload.target, at[0].encode(), at[1], wait)]
+        if message.revision:  # the book speaks, whatever X-Tariff says
+            lines.append(b"X-Plan: %s; revision=%d\r\n" % (message.plan.encode(), message.revision))
         lines += [b"%s: %s\r\n" % header for header in payload.headers]
         if payload.body or payload.method not in (b"GET", b"HEAD"):
             lines.append(b"Content-Length: %d\r\n" % len(payload.body))
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -29,11 +29,63 @@
     cluster: str
 
 
+@dataclass(slots=True, frozen=True)
+class ControlPart:
+    listen: Address | str  # a string is the path of a Unix socket
+
+
+@dataclass(slots=True, frozen=True)
+class PlansPart:
+    snapshot: str
+
+
+@dataclass(slots=True, frozen=True)
+class ReservationsPart:
+    most: int
+    longest: float  # s
+    grant: float  # s that a grant of the second front holds its units; 0 = grants are no reservations
+    charge_grants: bool  # at its end a grant is charged as guessed; else its units are returned
+
+
+@dataclass(slots=True, frozen=True)
+class LeasePart:
+    ahead: float  # s of a firm's recent use that is leased at a time
+    idle: float  # s without use after which what is left is given back
+    share_when_lost: bool  # without the counter a part of the plan for each ingress; else only what is held
+
+
+@dataclass(slots=True, frozen=True)
+class ExportPart:
+    at: Address
+    path: str
+    batch: int
+    timeout: float
+    longest: float  # s between repeats at most
+
+
+@dataclass(slots=True, frozen=True)
+class LedgerPart:
+    path: str
+    period: float
+    grace: float
+    size: int  # bytes of the file at most
+    sync: float  # s of use that a loss of power may cost; 0 = none
+    refuse: bool  # while the store takes nothing new messages are turned away; else counted in memory
+    backlog: int
+    keep: int  # acknowledged entries that are kept for a replay
+    export: ExportPart | None
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     server: ServerPart | None = None
     client: ClientPart | None = None
     xds: XdsPart | None = None
+    control: ControlPart | None = None
+    plans: PlansPart | None = None
+    reservations: ReservationsPart | None = None
+    leases: LeasePart | None = None
+    ledger: LedgerPart | None = None
 
 
 def _table(raw: Any, name: str, known: set[str]) -> dict[str, Any] | None:
@@ -61,8 +113,85 @@
     return value
 
 
+def _seconds(table: dict[str, Any], name: str, key: str, default: float, least: float, most: float) -> float:
+    value = table.get(key, default)
+    if not isinstance(value, int | float) or isinstance(value, bool) or not least <= value <= most:
+        raise ConfigError(f"{name}.{key}: {value!r} is no number of seconds from {least:g} to {most:g}")
+    return float(value)
+
+
+def _choice(table: dict[str, Any], name: str, key: str, first: str, second: str) -> bool:
+    """Whether it is the first one, which is also the default."""
+    value = table.get(key, first)
+    if value not in (first, second):
+        raise ConfigError(f"{name}.{key}: {value!r} is neither {first!r} nor {second!r}")
+    return bool(value == first)
+
+
+def local(text: str, name: str) -> Address | str:
+    """'127.0.0.1:9393' or 'unix:/run/x.sock': an address on this machine alone, or the path of a Unix socket."""
+    if text.startswith("unix:"):
+        path = text.removeprefix("unix:")
+        if not path.startswith("/") or len(path.encode()) > 100:
+            raise ConfigError(f"{name}: {text!r} is no absolute path of at most 100 bytes")
+        return path
+    at = address(text, name)
+    if at[0] != "::1" and not at[0].startswith("127."):
+        raise ConfigError(f"{name}: {text!r} is not an address of this machine alone (127.x.x.x, [::1] or unix:/path)")
+    return at
+
+
+def billing_address(url: str, name: str) -> tuple[Address, str]:
+    """'http://127.0.0.1:9494/use' as an address and a path; names are not looked up."""
+    host, slash, path = url.removeprefix("http://").partition("/")
+    if not url.startswith("http://"):
+        raise ConfigError(f"{name}: {url!r} is no http://address:port/path")
+    return address(host, name), slash + path or "/"
+
+
+def _export(raw: Any) -> ExportPart | None:
+    name = "ledger.export"
+    if (part := _table(raw, name, {"url", "batch", "timeout_s", "longest_wait_s"})) is None:
+        return None
+    at, path = billing_address(_text(part, name, "url"), f"{name}.url")
+    return ExportPart(at, path, _whole(part, name, "batch", 100, 1, 1000),
+                      _seconds(part, name, "timeout_s", 5.0, 0.1, 60.0),
+                      _seconds(part, name, "longest_wait_s", 30.0, 0.1, 3600.0))
+
+
+def _ledger(raw: Any) -> LedgerPart | None:
+    name = "ledger"
+    part = _table(raw, name, {"path", "period_s", "grace_s", "size_mb", "sync_s", "on_failure", "backlog", "keep",
+                              "export"})
+    if part is None:
+        return None
+    return LedgerPart(
+        _text(part, name, "path"), _seconds(part, name, "period_s", 60.0, 0.1, 3600.0),
+        _seconds(part, name, "grace_s", 10.0, 0.0, 3600.0), _whole(part, name, "size_mb", 256, 1, 65536) << 20,
+        _seconds(part, name, "sync_s", 1.0, 0.0, 60.0), not _choice(part, name, "on_failure", "serve", "refuse"),
+        _whole(part, name, "backlog", 20_000, 10, 10_000_000), _whole(part, name, "keep", 1_000_000, 0, 100_000_000),
+        _export(part.get("export")))
+
+
+def _reservations(raw: Any) -> ReservationsPart | None:
+    name = "reservations"
+    if (part := _table(raw, name, {"most", "longest_s", "grant_s", "grant_end"})) is None:
+        return None
+    return ReservationsPart(
+        _whole(part, name, "most", 10_000, 1, 1_000_000), _seconds(part, name, "longest_s", 60.0, 0.1, 3600.0),
+        _seconds(part, name, "grant_s", 10.0, 0.0, 3600.0), _choice(part, name, "grant_end", "charge", "return"))
+
+
+def _leases(raw: Any) -> LeasePart | None:
+    name = "leases"
+    if (part := _table(raw, name, {"ahead_s", "idle_s", "on_counter_loss"})) is None:
+        return None
+    return LeasePart(_seconds(part, name, "ahead_s", 1.0, 0.05, 10.0), _seconds(part, name, "idle_s", 1.0, 0.1, 10.0),
+                     not _choice(part, name, "on_counter_loss", "refuse", "share"))
+
+
 def decode(raw: dict[str, Any]) -> Operator:
-    top = _table(raw, "operator", {"authz", "xds"}) or {}
+    top = _table(raw, "operator", {"authz", "xds", "control", "plans", "reservations", "leases", "ledger"}) or {}
     authz = _table(top.get("authz"), "authz", {"server", "client"}) or {}
     server = client = xds = None
     name = "authz.server"
@@ -81,7 +210,13 @@
                             _whole(part, name, "timeout_ms", 250, 1, 3_600_000) / 1000, failure == "allow")
     if (part := _table(top.get("xds"), "xds", {"path", "cluster"})) is not None:
         xds = XdsPart(_text(part, "xds", "path"), _text(part, "xds", "cluster"))
-    return Operator(server, client, xds)
+    control = plans = None
+    if (part := _table(top.get("control"), "control", {"listen"})) is not None:
+        control = ControlPart(local(_text(part, "control", "listen"), "control.listen"))
+    if (part := _table(top.get("plans"), "plans", {"snapshot"})) is not None:
+        plans = PlansPart(_text(part, "plans", "snapshot"))
+    return Operator(server, client, xds, control, plans, _reservations(top.get("reservations")),
+                    _leases(top.get("leases")), _ledger(top.get("ledger")))
 
 
 def load(path: str) -> Operator:
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -114,7 +114,7 @@
         if loop is None or c is None and self.plans:  # a class or plan that the settings do not know
             return self.refuse(r.id, 0.0)
         loop.fill(now)
-        after = self.over_quota(now, c, r.units - r.held) if c else 0.0
+        after = self.over_quota(now, c, r.units - r.held) if c and r.units > r.held else 0.0
         crowded = after > 0 or loop.tokens < 1 or r.left < HASTE * loop.mean or self.crowded(now, loop)
         if crowded or not self.send(now, q := Held(r, loop, c, now + r.left)):
             return self.refuse(r.id, max(after, (1 - loop.tokens) / loop.rate, loop.mean))
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -260,7 +260,7 @@
     units: float
     spread: int = 1
     first: int = 0
-    retry: bool = False
+    retry: bool = True  # as with a retry, the plan it names never moves the customer: it may be an older one
 
 
 Event = (ServerList | Request | Outcome | Started | Gone | Probed | Counted | PeerNote | Timer | PlanFigures | Moved
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import structlog
@@ -23,11 +24,13 @@
 from .net.north import North
 from .net.pool import Pool
 from .net.south import Southside
+from .operator import Operator
 from .policy.brain import Gateway
 
 LINGER = 0.5  # s after SIGTERM in which new connections are still taken
 SPARE, SPARE_PART = 64, 8  # descriptors for everything but clients and sim servers: at most, and 1 / part of all
 CLIENT_KB, MEMORY_PART = 80, 4  # a client with a whole message in hand; 1 / part of the memory is for them
+GIVE_BACK = 0.05  # s at the end for leased units to reach the counter
 KNOWN_ENOUGH = 1.5  # s after which the list from the configuration must do
 
 
@@ -49,6 +52,10 @@
         self.loop = Loop(self.clock, self.metrics, log)
         self.pool = Pool()
         self.born = self.clock()
+        told = config.operator
+        if told.ledger is not None or told.leases is not None:
+            config.settings = replace(config.settings, charges=told.ledger is not None,
+                                      leased=told.leases is not None)
         gateway = Gateway(config.settings, config.seed, self.born)
         self.counter: CounterClient | None = None
         if config.counter is not None and config.settings.counter:
@@ -66,25 +73,21 @@
         self.discovery: Any = None
         self.front: Any = None
         self.authoriser: Any = None
+        self.plans: Any = None
+        self.reservations: Any = None
+        self.leases: Any = None
+        self.ledger: Any = None
+        self.control: Any = None
         self._extras()
         self.ending = False
 
     def _extras(self) -> None:
-        """What the operator's file switches on; its libraries are loaded only here."""
-        told = self.config.operator
-        if told.server is not None:
-            from .authz.front import Front
-            self.front = Front(self.loop, self.pool, self.ingress, self.inventory, self.metrics,
-                               told.server.header, told.server.streams)
-        if told.client is not None:
-            from .authz.client import AuthorisationClient
-            self.authoriser = AuthorisationClient(self.loop, self.pool, told.client.at, told.client.timeout,
-                                                  self.metrics)
-            self.ingress.authoriser, self.ingress.fail_open = self.authoriser, told.client.fail_open
-        if told.xds is not None:
-            from .xds.source import FileSource
-            self.discovery = FileSource(self.loop, self.inventory, told.xds, self.metrics, self.log)
-        elif self.config.discovery is not None:
+        """What the operator's file switches on; without it nothing of it is loaded."""
+        if self.config.operator != Operator():
+            from .extras import EXTRAS
+            for extra in EXTRAS:
+                extra(self)
+        if self.discovery is None and self.config.discovery is not None:
             self.discovery = Discovery(self.loop, self.pool, self.inventory, self.config.discovery, self.metrics,
                                        self.log)
 
@@ -98,8 +101,9 @@
                 self.inventory.told(self.config.known, stale=True)
             except (ValueError, TypeError) as error:  # an old list is a help, not a need
                 self.log.error("known", error=str(error))
-        if self.discovery is not None:
-            self.discovery.start()
+        for part in (self.ledger, self.plans, self.leases, self.discovery):
+            if part is not None:
+                part.start()
         if signals:
             self.loop.on_signal(signal.SIGTERM, self.end)
             self.loop.on_signal(signal.SIGINT, self.end)
@@ -109,6 +113,12 @@
         if self.front is not None and self.config.operator.server is not None:
             checks = self._listen("authz.server.listen", self.front, self.config.operator.server.listen)
             self.log.info("answering checks", address=f"{checks[0]}:{checks[1]}")
+        if self.control is not None and self.config.operator.control is not None:
+            where = self.config.operator.control.listen
+            try:
+                self.log.info("control", address=self.control.listen(where))
+            except OSError as error:
+                raise ConfigError(f"control.listen: {where}: {error.strerror}") from None
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
 
     def _listen(self, name: str, front: Any, at: Address) -> Address:
@@ -153,6 +163,9 @@
         self.north.close_unused()
         if self.north.clients or self.ingress.held or self.front is not None and self.front.peers:
             self.loop.call_in(0.02, self._finish)
+        elif self.leases is not None:
+            self.leases.give_back()
+            self.loop.call_in(GIVE_BACK, self.loop.stop)
         else:
             self.loop.stop()
 
@@ -177,6 +190,10 @@
             self.counter.stop()
         if self.discovery is not None:
             self.discovery.stop()
+        if self.control is not None:
+            self.control.stop()
+        if self.ledger is not None:
+            self.ledger.stop()
         self.loop.close()
 
 
@@ -208,5 +225,6 @@
         daemon = Daemon(config, make_log())
         daemon.start()
     except ImportError as error:
-        raise ConfigError(f"operator: {error.name} is not installed; see requirements-authz.txt") from None
+        raise ConfigError(f"operator: {error.name} is not installed; see requirements-authz.txt and "
+                          "requirements-fleet.txt") from None
     daemon.run()
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,240 @@
+"""The control API on real sockets: what is wrong changes nothing; plans, reservations and the ledger end to end."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brackenpulley.address import ConfigError
+from brackenpulley.operator import decode as operator_of
+
+from .rig import Rig, rig
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-True-Cost: 3\r\n\r\nbody"
+FIRM = f"{1:016x}"
+
+
+def operator(tmp_path: Path, **more: Any) -> dict[str, Any]:
+    return {"control": {"listen": f"unix:{tmp_path}/c"}, "plans": {"snapshot": f"{tmp_path}/plans"},
+            "reservations": {"grant_s": 2.0}, "ledger": {"path": f"{tmp_path}/ledger", "period_s": 1.0, "grace_s": 0.0},
+            **more}
+
+
+def call(r: Rig, path: Path, method: str, target: str, body: Any = None, raw: bytes | None = None) -> tuple[int, Any]:
+    """One call over the Unix socket, in this thread."""
+    data = raw if raw is not None else b"" if body is None else json.dumps(body).encode()
+    sock = socket.socket(socket.AF_UNIX)
+    sock.connect(f"{path}/c")
+    sock.setblocking(False)
+    send = f"{method} {target} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+    got = b""
+
+    def done() -> bool:
+        nonlocal send, got
+        try:
+            if send:
+                send = send[sock.send(send):]
+        except BlockingIOError:
+            pass
+        try:
+            got += sock.recv(1 << 20)
+        except BlockingIOError:
+            return False
+        head, end, rest = got.partition(b"\r\n\r\n")
+        return bool(end) and len(rest) >= int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+
+    r.until(done)
+    sock.close()
+    head, _, rest = got.partition(b"\r\n\r\n")
+    return int(head.split(b" ")[1]), json.loads(rest)
+
+
+def change(r: Rig, **more: Any) -> dict[str, Any]:
+    now = r.daemon.clock()
+    return {"revision": 1, "kind": "move", "at": now, "since": now, "plan": "p", "firm": FIRM, **more}
+
+
+BAD = [
+    (b"", 400, "body"), (b"[]", 400, "body"), (b"{", 400, "body"), (b"\xff", 400, "body"), (b"[" * 60_000, 400, "body"),
+    (b'{"kind":"move"}', 400, "revision"), (b'{"revision":1,"kind":"drop","at":1}', 400, "kind"),
+    (b'{"revision":"1","kind":"move","at":1}', 400, "revision"),
+    (b'{"revision":1,"kind":"move","at":NaN}', 400, "body"),
+    (b'{"revision":1,"kind":"move","at":1,"who":"me"}', 400, "who"),
+    (b'{"revision":1,"kind":"set","at":1,"figures":{"rate":"x","burst":1}}', 400, "figures.rate"),
+    (b'{"revision":1,"kind":"set","at":1,"figures":{"rate":1}}', 400, "figures"),
+    (b'{"revision":1,"kind":"move","at":1e999}', 400, "at"), (b"x" * 10_000_000, 413, "body")]
+
+
+@pytest.mark.parametrize(("body", "status", "field"), BAD, ids=[f"{n}" for n in range(len(BAD))])
+def test_what_is_wrong_is_a_4xx_that_names_the_field(tmp_path: Path, body: bytes, status: int, field: str) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        code, told = call(r, tmp_path, "POST", "/v1/changes", raw=body)
+        assert (code, told["error"]["field"]) == (status, field)
+        assert r.daemon.plans.book.revision == 0 and not (tmp_path / "plans").exists()
+
+
+@pytest.mark.parametrize(("method", "target", "status", "field"), [
+    ("GET", "/v1/nothing", 404, "path"), ("DELETE", "/v1/plans", 405, "method"), ("GET", "/v1/plans/gold", 404, "plan"),
+    ("GET", "/v1/firms/zz", 400, "firm"), ("GET", "/v1/plans?when=soon", 400, "when"),
+    ("GET", "/v1/changes?most=0", 400, "most"), ("GET", "/v1/reservations/r", 404, "id"),
+    ("POST", "/v1/reservations/r/release", 404, "id"), ("GET", "/v1/ledger/entries?from=0", 400, "from")])
+def test_wrong_paths_and_arguments(tmp_path: Path, method: str, target: str, status: int, field: str) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        code, told = call(r, tmp_path, method, target)
+        assert (code, told["error"]["field"]) == (status, field)
+
+
+def test_a_change_is_compare_and_set_saved_and_restored(tmp_path: Path) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        assert call(r, tmp_path, "POST", "/v1/changes", change(r, revision=2))[0] == 409
+        first = change(r)
+        assert call(r, tmp_path, "POST", "/v1/changes", first) == (201, {"revision": 1, "taken": "now"})
+        assert call(r, tmp_path, "POST", "/v1/changes", first) == (200, {"revision": 1, "taken": "before"})
+        code, told = call(r, tmp_path, "POST", "/v1/changes", change(r, note="another operator"))
+        assert code == 409 and told["error"]["text"] == "1 is another change; the next is 2"
+        figures = {"rate": 5.0, "burst": 5.0}
+        assert call(r, tmp_path, "POST", "/v1/changes", change(r, revision=2, kind="set", firm="", plan="new",
+                                                               figures=figures))[0] == 201
+        assert r.daemon.ingress.gateway.plans["new"].rate == 5.0
+    with rig(operator=operator(tmp_path)) as r:  # the next life
+        assert call(r, tmp_path, "GET", "/v1/plans")[1]["revision"] == 2
+        assert r.daemon.ingress.gateway.plans["new"].rate == 5.0
+        assert call(r, tmp_path, "GET", f"/v1/firms/{FIRM}")[1] == {"firm": FIRM, "plan": "p", "revision": 1}
+
+
+def test_a_snapshot_that_cannot_be_written_leaves_all_as_it_was(tmp_path: Path) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        (tmp_path / "plans.new").mkdir()  # in the way of the file that is written first
+        code, told = call(r, tmp_path, "POST", "/v1/changes", change(r))
+        assert code == 503 and told["error"]["field"] == "snapshot" and r.daemon.plans.book.revision == 0
+
+
+def serve(r: Rig, number: int, **more: Any) -> int:
+    client = r.ask(number, ident=1000 + number, **more)
+    _, server = r.served()
+    server.answer()
+    server.send(OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+    return client.answer()[0]
+
+
+def test_a_change_due_later_takes_effect_at_its_instant_and_use_is_counted_under_it(tmp_path: Path) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        now = r.daemon.clock()
+        figures = {"rate": 50.0, "burst": 50.0}
+        call(r, tmp_path, "POST", "/v1/changes", change(r, kind="set", firm="", plan="big", figures=figures))
+        call(r, tmp_path, "POST", "/v1/changes", change(r, revision=2, plan="big", since=now + 60))
+        assert serve(r, 1) == 200 and r.daemon.ingress.gateway.customers[1].plan.name == "p"
+        r.skip(61.0)
+        assert serve(r, 1) == 200 and r.daemon.ingress.gateway.customers[1].plan.name == "big"
+        r.skip(3.0)
+        r.until(lambda: r.daemon.ledger.tally.heads.next_seq == 3)
+        rows = [(e.key.plan, e.key.revision, e.units) for e in r.daemon.ledger.store.entries()]
+        assert rows == [("p", 0, 3_000_000), ("big", 2, 3_000_000)]
+
+
+def test_a_reservation_pays_for_the_try_that_names_it(tmp_path: Path) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        book = {"id": "r1", "firm": FIRM, "units": 4.0, "lifetime": 30.0, "plan": "p"}
+        code, told = call(r, tmp_path, "POST", "/v1/reservations", book)
+        assert code == 201 and told["state"] == "held"
+        assert call(r, tmp_path, "POST", "/v1/reservations", book)[1]["state"] == "held"
+        level = r.daemon.ingress.gateway.customers[1].level
+        assert serve(r, 1, more="X-Reservation: r1\r\nX-Weight: units=4\r\n") == 200
+        assert r.daemon.ingress.gateway.customers[1].level >= level  # paid, and the true cost was 3 of the 4
+        assert call(r, tmp_path, "GET", "/v1/reservations/r1")[1]["state"] == "used"
+        assert r.daemon.ledger.tally.heads.counted == 3_000_000
+        assert call(r, tmp_path, "POST", "/v1/reservations/r1/commit", {"units": 4})[0] == 409
+
+
+def test_commit_release_and_end_of_a_reservation_reach_store_and_ledger(tmp_path: Path) -> None:
+    with rig(operator=operator(tmp_path)) as r:
+        for n in range(3):
+            assert call(r, tmp_path, "POST", "/v1/reservations", {"id": f"r{n}", "firm": FIRM, "units": 2.0,
+                                                                  "lifetime": 5.0, "plan": "p"})[0] == 201
+        full = r.daemon.ingress.gateway.customers[1].level
+        assert call(r, tmp_path, "POST", "/v1/reservations/r0/commit", {"units": 1.0})[1]["charged"] == 1.0
+        assert call(r, tmp_path, "POST", "/v1/reservations/r0/commit", {"units": 1.0})[0] == 200
+        assert call(r, tmp_path, "POST", "/v1/reservations/r1/release")[1]["state"] == "released"
+        assert r.daemon.ingress.gateway.customers[1].level >= full + 3.0
+        r.skip(6.0)
+        assert call(r, tmp_path, "POST", "/v1/reservations/r2/commit", {"units": 1.0})[0] == 410
+        assert call(r, tmp_path, "GET", "/v1/reservations")[1]["held"] == 0
+        assert r.daemon.ledger.tally.heads.counted == 1_000_000
+        code, told = call(r, tmp_path, "POST", "/v1/reservations", {"id": "x", "firm": FIRM, "units": 9.0,
+                                                                    "lifetime": 5.0, "plan": "p"})
+        assert code == 400 and told["error"]["field"] == "units"
+
+
+@pytest.mark.parametrize("mode", ["serve", "refuse"])
+def test_a_store_that_takes_nothing_is_the_operators_choice(tmp_path: Path, mode: str) -> None:
+    """A really full store: 1 MB, filled up by another table."""
+    told = operator(tmp_path)
+    told["ledger"].update(on_failure=mode, size_mb=1)
+    with rig(operator=told) as r:
+        store = r.daemon.ledger.store
+        blocks = 0
+        with pytest.raises(Exception, match="MDB_MAP_FULL"):
+            while True:
+                with store.env.begin(write=True) as txn:
+                    txn.put(b"filling %d" % blocks, b"x" * 1500, db=store._meta)
+                blocks += 1
+        assert serve(r, 1) == 200  # it was taken before anybody knew
+        assert r.count("ledger_failures") >= 1 and r.daemon.ledger.failing
+        if mode == "refuse":
+            status, head, _ = r.ask(2, ident=7).answer()
+            assert status == 503 and b"retry-after" in head.lower()
+        else:
+            assert serve(r, 2) == 200
+        store.env.set_mapsize(4 << 20)  # the operator makes room
+        r.skip(1.1)
+        r.until(lambda: not r.daemon.ledger.failing)
+        assert serve(r, 3) == 200 and r.daemon.ledger.store.heads().counted == (6 + 3 * (mode == "serve")) * 1_000_000
+
+
+def test_another_process_at_the_socket_is_not_pushed_away(tmp_path: Path) -> None:
+    with rig(operator=operator(tmp_path)), pytest.raises(ConfigError, match="another process answers there"):
+        Rig(operator=operator(tmp_path, ledger={"path": f"{tmp_path}/other"}))
+    (tmp_path / "c").write_text("no socket")
+    with pytest.raises(ConfigError, match="a file that is no socket"):
+        Rig(operator=operator(tmp_path, ledger={"path": f"{tmp_path}/third"}))
+
+
+@pytest.mark.parametrize(("table", "said"), [
+    ({"control": {"listen": "10.0.0.1:1"}}, "control.listen"), ({"control": {"listen": "unix:c"}}, "control.listen"),
+    ({"plans": {}}, "plans.snapshot"), ({"plans": {"snapshot": "x", "y": 1}}, "plans.y"),
+    ({"ledger": {"path": "x", "sync_s": -1}}, "ledger.sync_s"), ({"ledger": {"path": "x", "period_s": True}}, "ledger"),
+    ({"ledger": {"path": "x", "on_failure": "stop"}}, "ledger.on_failure"),
+    ({"ledger": {"path": "x", "export": {"url": "https://1.1.1.1:1/"}}}, "ledger.export.url"),
+    ({"reservations": {"most": 0}}, "reservations.most"), ({"leases": {"ahead_s": float("nan")}}, "leases.ahead_s")])
+def test_the_operators_file_is_checked(table: dict[str, Any], said: str) -> None:
+    with pytest.raises(ConfigError, match=f"^{said}"):
+        operator_of(table)
+
+
+def test_the_commands_speak_to_a_daemon(tmp_path: Path) -> None:
+    def run(r: Rig, *words: str) -> tuple[int, str, str]:
+        process = subprocess.Popen([sys.executable, "-m", "brackenpulley", *words, "--control", f"unix:{tmp_path}/c"],
+                                   stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        r.until(lambda: process.poll() is not None)
+        out, err = process.communicate()
+        return process.returncode, out, err
+
+    with rig(operator=operator(tmp_path)) as r:
+        code, out, _ = run(r, "plans", "set", "big", "--rate", "5", "--burst", "9", "--in", "0", "--json")
+        assert code == 0 and json.loads(out)["change"]["revision"] == 1
+        code, out, _ = run(r, "plans", "move", FIRM, "big", "--in", "0", "--note", "mid-week")
+        assert code == 0 and r.daemon.plans.book.plan_of(1, r.daemon.clock())[0] == "big"
+        code, _, err = run(r, "plans", "move", FIRM, "gold", "--in", "0")
+        assert code == 1 and "plan: no plan 'gold' at that time; there are big, p" in err
+        code, out, _ = run(r, "plans", "history", "--firm", FIRM)
+        assert code == 0 and "mid-week" in out
+        code, out, _ = run(r, "control", "status", "--json")
+        assert code == 0 and json.loads(out)[0]["plans"]["revision"] == 2
+        code, out, _ = run(r, "ledger", "show", "--json")
+        assert code == 0 and json.loads(out)["ingress"] == "n0"
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,281 @@
+"""Counted use: sums, closing, corrections; a store that fails, is killed, damaged, taken over; export to files."""
+
+from __future__ import annotations
+
+import csv
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brackenpulley.ledger import files
+from brackenpulley.ledger.store import LedgerError, Store, number, packed
+from brackenpulley.ledger.tally import LONGEST, MICRO, Entry, Heads, Key, Sum, Tally, check
+from brackenpulley.ledger.upload import event
+
+T0 = 1_700_000_000.0
+
+
+def tally(**more: Any) -> Tally:
+    return Tally(Heads("n0", "e"), 60_000, 10_000, 100, **more)
+
+
+def test_use_is_added_up_and_closed_once_its_period_has_been_over_for_the_grace() -> None:
+    t = tally()
+    for n in range(3):
+        t.charge(f"i{n}", 1, "school", 0, 2.5, T0 + n)
+    t.charge("j", 1, "school", 4, 1.0, T0)
+    end = (int(T0) // 60 + 1) * 60
+    assert not t.close(end + 9.9)
+    made = t.close(end + 10.0)
+    assert [(e.seq, e.id, e.units, e.tries, e.key.revision) for e in made] == [
+        (1, "n0/e/1", 7_500_000, 3, 0), (2, "n0/e/2", 1_000_000, 1, 4)]
+    assert t.open == {} and t.heads.counted == 8_500_000 and t.heads.closed == end * 1000
+
+
+def test_use_told_after_its_period_closed_is_a_correction_and_no_edit() -> None:
+    t = tally()
+    t.charge("a", 1, "school", 0, 1.0, T0)
+    t.close(T0 + 100)
+    t.charge("late", 1, "school", 0, 4.0, T0)
+    entry, = t.close(T0 + 170)
+    assert entry.key.kind == "correction" and entry.seq == 2 and entry.units == 4 * MICRO
+    assert entry.key.start <= T0 * 1000 < entry.key.end
+
+
+@pytest.mark.parametrize("step", [-7200.0, 7200.0])
+def test_a_date_that_steps_over_periods_loses_nothing_and_leaves_no_gap(step: float) -> None:
+    """The clock of a process never steps; that of its next life may."""
+    t = tally()
+    t.charge("a", 1, "school", 0, 1.0, T0)
+    made = t.close(T0 + 100)
+    t.charge("b", 1, "school", 0, 1.0, T0 + 130 + step)
+    for n in range(400):
+        made += t.close(T0 + 130 + step + n * 60)
+    assert [e.seq for e in made] == [1, 2] and sum(e.units for e in made) == t.heads.counted
+
+
+def test_without_billing_periods_grow_and_nothing_is_dropped() -> None:
+    """An hour at 500 firms: bounded by adding up."""
+    t = tally()
+    t.backlog = 1000
+    made: list[Entry] = []
+    for minute in range(600):
+        for firm in range(500):
+            t.charge("x", firm, "school", 0, 1.0, T0 + minute * 60)
+        made += t.close(T0 + minute * 60 + 59)
+    assert t.length() >= 8 * 60_000 and len(made) < 15_000
+    assert sum(e.units for e in made) + t.open_units() == t.heads.counted == 300_000 * MICRO
+    spans = sorted({(e.key.start, e.key.end) for e in made})
+    assert all(first[1] <= second[0] for first, second in zip(spans, spans[1:], strict=False))
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["charge", "late", "close", "commit", "fail", "crash"]),
+                           st.integers(1, 3), st.integers(1, 9)), max_size=50)
+
+
+@given(STEPS)
+@settings(derandomize=True, deadline=None, max_examples=40)
+def test_counted_is_entries_and_open_through_failures_and_crashes(steps: list[tuple[str, int, int]]) -> None:
+    """What stands on disk after each step is whole, and a crash goes on from it."""
+    import tempfile
+    with tempfile.TemporaryDirectory() as folder:
+        store = Store(folder, "n0", 8 << 20)
+        heads, sums, _ = store.begin()
+        t, made, stored, now = Tally(heads, 1000, 500, 50, sums), list[Entry](), 0, T0
+        for kind, firm, amount in steps:
+            now += 0.3
+            if kind in ("charge", "late"):
+                t.charge("i", firm, "p", 0, amount, now - 5.0 * (kind == "late"))
+            elif kind == "close":
+                made += t.close(now)
+            elif kind == "commit":
+                store.commit(t.heads, {key: t.open.get(key) for key in t.changed}, made, t.last)
+                t.changed.clear()
+                made, t.last, stored = [], [], t.heads.counted
+            elif kind == "fail":
+                store.env.set_mapsize(8 << 20)
+            else:
+                store.env.close()
+                assert store.lock is not None
+                store.lock.close()
+                store = Store(folder, "n0", 8 << 20)
+                heads, sums, _ = store.begin()
+                t, made = Tally(heads, 1000, 500, 50, sums), []
+                assert heads.counted == stored
+            assert [fault for fault, _ in store.verify() if fault] == []
+        store.end(t.heads)
+
+
+def filled(folder: Path, periods: int = 4, firms: int = 3) -> tuple[Store, Tally]:
+    store = Store(str(folder), "n0", 32 << 20)
+    heads, sums, _ = store.begin()
+    t = Tally(heads, 60_000, 0, 10_000, sums)
+    for period in range(periods):
+        for firm in range(firms):
+            t.charge(f"{period}-{firm}", firm, "school", 0, 1.5, T0 + period * 60)
+        made = t.close(T0 + period * 60 + 60)
+        store.commit(t.heads, {key: t.open.get(key) for key in t.changed}, made, t.last)
+        t.changed.clear()
+        t.last = []
+    return store, t
+
+
+def faults(store: Store) -> list[str]:
+    return [fault for fault, _ in store.verify() if fault]
+
+
+@pytest.mark.parametrize(("damage", "said"), [
+    ("gap", "sequence: 6 where 5 should be"), ("units", "entries hold"), ("id", "does not belong to it"),
+    ("open", "sum: counted"), ("ack twice", "entries 3 to 4: exported twice"), ("ack gap", "entries 5 to 6: never")])
+def test_verify_names_the_first_fault(tmp_path: Path, damage: str, said: str) -> None:
+    store, t = filled(tmp_path)
+    store.acknowledge(t.heads, 1, 4, False)
+    assert faults(store) == []
+    fifth = next(store.entries(5, 1))
+    with store.env.begin(write=True) as txn:
+        if damage == "gap":
+            txn.delete(number(5), db=store._entries)
+        elif damage == "units":
+            txn.put(number(5), packed(Entry(5, fifth.id, fifth.key, fifth.units + 1, 1)), db=store._entries)
+        elif damage == "id":
+            txn.put(number(5), packed(Entry(5, "n0/x/4", fifth.key, fifth.units, 1)), db=store._entries)
+        elif damage == "open":
+            txn.put(packed(Key("use", 0, 1, 9, "p", 0)), packed(Sum(5, 1)), db=store._open)
+        elif damage == "ack twice":
+            txn.put(number(9), packed([3, 8, False]), db=store._acks)
+        else:
+            txn.put(number(9), packed([7, 8, False]), db=store._acks)
+    assert said in faults(store)[0]
+    store.end(t.heads)
+    run = subprocess.run([sys.executable, "-m", "brackenpulley", "ledger", "verify", "--path", str(tmp_path)],
+                         capture_output=True, text=True, check=False)
+    assert run.returncode == 1 and said in run.stderr
+
+
+def test_a_replay_is_not_taken_for_a_second_export_and_keeps_its_ids(tmp_path: Path) -> None:
+    store, t = filled(tmp_path)
+    before = [event(e) for e in store.entries()]
+    store.acknowledge(t.heads, 1, 12, False)
+    t.heads.acked = 12
+    with pytest.raises(LedgerError, match="from: 13 is not among"):
+        store.replay(t.heads, 13)
+    store.replay(t.heads, 5)
+    assert (t.heads.acked, t.heads.replay) == (4, 12) and [event(e) for e in store.entries()] == before
+    t.heads.acked = 12
+    store.acknowledge(t.heads, 5, 12, True)
+    assert faults(store) == []
+    assert store.drop(t.heads, 6) == 6 and t.heads.first == 7 and faults(store) == []
+    store.end(t.heads)
+
+
+def test_a_taken_over_ledger_keeps_the_ids_of_its_entries_and_begins_an_epoch(tmp_path: Path) -> None:
+    store, t = filled(tmp_path, 1)
+    before = [e.id for e in store.entries()]
+    store.end(t.heads)
+    store = Store(str(tmp_path), "n7", 32 << 20)
+    heads, sums, said = store.begin()
+    assert said == "taken over from ingress n0" and heads.next_seq == 4 and sums == {}
+    assert heads.epoch not in before[0] and [e.id for e in store.entries()] == before and faults(store) == []
+    with pytest.raises(LedgerError, match=f"held by ingress n7, process {os.getpid()}"):
+        Store(str(tmp_path), "n8")
+    store.end(heads)
+
+
+def test_a_full_store_takes_nothing_and_loses_nothing(tmp_path: Path) -> None:
+    store = Store(str(tmp_path), "n0", 1 << 17)
+    heads, sums, _ = store.begin()
+    t = Tally(heads, 60_000, 0, 10_000, sums)
+    stored = 0
+    with pytest.raises(LedgerError, match="MDB_MAP_FULL"):
+        for n in range(10_000):
+            t.charge(f"{n}", n, "school", 0, 1.0, T0)
+            store.commit(t.heads, {key: t.open[key] for key in t.changed}, [], t.last)
+            stored = t.heads.counted
+            t.changed.clear()
+            t.last = []
+    assert store.heads().counted == stored and faults(store) == []
+    store.env.set_mapsize(1 << 24)  # room again: what was kept in memory goes in
+    store.commit(t.heads, {key: t.open[key] for key in t.changed}, [], t.last)
+    assert store.heads().counted == t.heads.counted and faults(store) == []
+    store.end(t.heads)
+
+
+WRITER = """
+import sys
+from brackenpulley.ledger.store import Store
+from brackenpulley.ledger.tally import Tally
+store = Store(sys.argv[1], "n0", 64 << 20, 1.0)
+heads, sums, _ = store.begin()
+t = Tally(heads, 20, 0, 10_000, sums)
+n = heads.tries
+while True:
+    t.charge(str(n), n % 7, "p", 0, 1.0, 1.7e9 + n / 1000)
+    n += 1
+    made = t.close(1.7e9 + n / 1000) if n % 50 == 0 else []
+    store.commit(t.heads, {key: t.open.get(key) for key in t.changed}, made, t.last)
+    t.changed.clear()
+    t.last = []
+    print(n, flush=True)
+"""
+
+
+def test_kill_9_loses_no_use_whose_answer_left(tmp_path: Path) -> None:
+    """The line that a real process prints after each commit stands for the answer."""
+    for _ in range(4):
+        with subprocess.Popen([sys.executable, "-c", WRITER, str(tmp_path)], stdout=subprocess.PIPE, text=True) as run:
+            assert run.stdout is not None
+            lines = [run.stdout.readline() for _ in range(150)]
+            run.send_signal(signal.SIGKILL)
+            lines += run.stdout.read().splitlines()
+        store = Store(str(tmp_path))
+        heads, answered = store.heads(), int(lines[-1])
+        assert heads.tries - answered in (0, 1) and heads.counted == heads.tries * MICRO
+        assert store.last_turn() == [(str(heads.tries - 1), MICRO)] and faults(store) == []
+        store.end(None)
+
+
+@pytest.mark.parametrize("kind", ["jsonl", "csv"])
+def test_an_interrupted_export_is_gone_on_with(tmp_path: Path, kind: str) -> None:
+    store, t = filled(tmp_path / "l", 200)
+    whole, cut = str(tmp_path / "whole"), str(tmp_path / "cut")
+    assert list(files.export(store, whole, kind))[-1] == 600
+    data = Path(whole).read_bytes()
+    for size in (len(data) // 3, len(data) // 2 + 7, len(data) - 1, 40 if kind == "csv" else 0):
+        Path(cut).write_bytes(data[:size])
+        list(files.export(store, cut, kind))
+        assert Path(cut).read_bytes() == data
+    assert list(files.export(store, cut, kind)) == [0]
+    if kind == "jsonl":
+        assert [json.loads(line)["data"]["seq"] for line in data.splitlines()] == list(range(1, 601))
+    else:
+        rows = list(csv.DictReader(data.decode().splitlines()))
+        assert sum(float(row["units"]) for row in rows) == t.heads.counted / MICRO
+    Path(cut).write_bytes(b"something else\n")
+    with pytest.raises(LedgerError, match=f"is no {kind} export"):
+        list(files.export(store, cut, kind))
+    store.end(t.heads)
+
+
+def test_a_million_entries_worth_of_checking_grows_in_proportion() -> None:
+    """Counted, not timed: each entry is looked at once."""
+    seen = 0
+
+    def rows(count: int) -> Any:
+        nonlocal seen
+        for n in range(1, count + 1):
+            seen += 1
+            yield Entry(n, f"n0/e/{n}", Key("use", 0, 1, 5, "p", 0), 1, 1)
+
+    heads = Heads("n0", "e", 20_001, 0, 0, 1, 20_000, 20_000)
+    began = time.process_time()
+    assert [fault for fault, _ in check(heads, {}, rows(20_000), {(5, "p", 0): 20_000}, []) if fault] == []
+    assert seen == 20_000 and time.process_time() - began < 20 and LONGEST == 3_600_000
--- /dev/null
+++ b/tests/test_plan_trial.py
@@ -0,0 +1,24 @@
+"""The short form of `python -m benchmarks.plan_changes` and of the demo: real processes, the same checks."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+
+from benchmarks.plan_changes import trial
+
+
+def test_three_daemons_count_and_export_exactly_what_ran_while_plans_change() -> None:
+    report = trial(16.0, seed=11, every=3.0, quiet=True)
+    assert report["faults"] == [] and report["mostExcess"] <= 0.02
+    assert report["ranUnits"] == report["countedUnits"] == report["exportedUnits"] > 500
+    assert report["changes"] >= 6 and report["eventsTwice"] > 0 and set(report["killed"]) == {"n1"}
+
+
+def test_the_demo_agrees_with_itself() -> None:
+    run = subprocess.run([sys.executable, "-m", "brackenpulley", "demo", "--seconds", "3", "--json"],
+                         capture_output=True, text=True, check=False)
+    told = json.loads(run.stdout)
+    assert run.returncode == 0 and told["agree"] and told["served"] > 10
+    assert told["ranUnits"] == told["countedUnits"] == told["exportedUnits"]
