Tell the newer word again to whoever spreads an outdated suspicion

Change: a member that hears a suspicion or death older than what it knows of a living one tells the newer word again, so that the correction travels where the outdated word does.

--- a/brackenpulley/members/protocol.py
+++ b/brackenpulley/members/protocol.py
@@ -286,6 +286,11 @@
                 self._say(self.self_update())
             return
         member = self.members.get(update.id)
+        if member is not None and update.state in (SUSPECT, DEAD) and update.incarnation < member.incarnation and (
+                member.state == ALIVE):
+            # Whoever says so has missed that it was refuted, and would declare it dead: it is told again.
+            self._say(Update(member.id, member.address, member.incarnation, ALIVE))
+            return
         if update.state == ALIVE:
             self._is_alive(member, update)
         elif member is None:
