Count a turn once where the one before it is missing from the ledger's log

Cause, found by reading the change again: a record that finds no room in a full log is left out while a smaller one behind it may still fit. A start counted turns instead of taking their numbers, so the last record kept a number above what was folded and was counted again at the next start.

Change: the store remembers the newest turn that it met, and a start goes on from there. Beside it, with no change of behaviour: a sum is added to in one place, a second commit before a fold that commits and a function that nobody called are gone.

--- a/brackenpulley/ledger/service.py
+++ b/brackenpulley/ledger/service.py
@@ -42,10 +42,10 @@
             self.last: list[str] = []  # ids of the last turn that is stored
             self.made: list[Entry] = []  # closed, and not stored yet
             for uses in turns:
-                heads.turn += 1
                 for _, firm, plan, revision, units, since in uses:
                     self.tally.charge(firm, plan, revision, units, since)
                 self.last = [use[0] for use in uses]
+            heads.turn = max(heads.turn, self.store.newest)
             self._store()
         except LedgerError:
             self.store.end()
@@ -187,8 +187,6 @@
         """Commits what is left; the store is given back."""
         if self.uploader is not None:
             self.uploader.stop()
-        if self.uses:
-            self.commit()
         self.fold()
         self.store.end()
 
--- a/brackenpulley/ledger/store.py
+++ b/brackenpulley/ledger/store.py
@@ -91,6 +91,7 @@
         try:
             self._log = self._map() if ingress else None
             self._size = 0  # bytes of the log that hold records since the last fold
+            self.newest = 0  # the last turn that `turns` has met: one that found no room may be missing before it
             self.env = lmdb.open(str(self.path), map_size=size, max_dbs=5, readonly=not ingress, readahead=False,
                                  meminit=False)
             self._open, self._entries, self._meta, self._totals, self._acks = (
@@ -142,6 +143,7 @@
                 return
             self._size = begin + length
             turn, uses = _any.decode(body)
+            self.newest = max(self.newest, turn)
             if turn > after:
                 yield [tuple(use) for use in uses]
 
--- a/brackenpulley/ledger/tally.py
+++ b/brackenpulley/ledger/tally.py
@@ -101,26 +101,27 @@
         heads.counted += amount
         heads.tries += 1
         found = self._near.get((firm, plan, revision))
-        if found is not None and found[0].start <= at < found[0].end:
-            key, total = found
-            total.units += amount
-            total.tries += 1
-            self.changed.add(key)
-            return
+        if found is None or not found[0].start <= at < found[0].end:
+            found = self._find(at, firm, plan, revision)
+        key, total = found
+        total.units += amount
+        total.tries += 1
+        self.changed.add(key)
+
+    def _find(self, at: int, firm: int, plan: str, revision: int) -> tuple[Key, Sum]:
+        """The open sum that use of this moment (ms) belongs to."""
         length = self.length()
         end = (at // length + 1) * length
-        if at < heads.closed:
+        if at < self.heads.closed:
             length = self.period
             start = at // length * length
             key = Key("correction", start, start + length, firm, plan, revision)
         else:
-            key = Key("use", max(end - length, heads.closed), end, firm, plan, revision)
-        total = self.open.setdefault(key, Sum())
-        total.units += amount
-        total.tries += 1
-        self.changed.add(key)
+            key = Key("use", max(end - length, self.heads.closed), end, firm, plan, revision)
+        found = key, self.open.setdefault(key, Sum())
         if key.kind == "use":
-            self._near[firm, plan, revision] = key, total
+            self._near[firm, plan, revision] = found
+        return found
 
     def due(self, now: float) -> list[Key]:
         """Sums of periods that have been over for the time of grace; corrections go with the first close."""
--- a/brackenpulley/members/protocol.py
+++ b/brackenpulley/members/protocol.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from .awareness import Awareness
@@ -375,9 +374,3 @@
     def _effects(self) -> list[Effect]:
         out, self._out = self._out, []
         return out
-
-
-def names(protocol: Protocol) -> Iterator[str]:
-    """Everybody that counts as there, this member too."""
-    yield protocol.id
-    yield from (member.id for member in protocol.alive())
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -160,6 +160,20 @@
         life.loop.close()
 
 
+def test_a_turn_that_is_missing_from_the_log_does_not_make_the_one_behind_it_count_twice(tmp_path: Path) -> None:
+    """A large turn found no room and a small one behind it did; then the process died twice."""
+    store = Store(str(tmp_path), "n0", 8 << 20)
+    heads, _, _, _ = store.begin()
+    store.fold(heads, {}, [], [])
+    for turn in (1, 3):
+        store.append(turn, [("i", 1, "p", 0, 1.0, T0)])
+    store.end()
+    for _ in range(2):
+        life = Life(str(tmp_path), T0 + 1)
+        assert life.service.tally.heads.counted == 2 * MICRO
+        life.crash(b"")
+
+
 def fold(store: Store, t: Tally, made: list[Entry]) -> None:
     store.fold(t.heads, {key: t.open.get(key) for key in t.changed}, made, [])
     t.changed.clear()
