--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -222,7 +222,7 @@
 
 
 def trial(instances: int = 40, seed: int = 3, rate: float = 0.0, full: float = 40.0, pause: float = 4.0,
-          members: bool = False, quiet: bool = False, plot: str = "") -> dict[str, Any]:
+          members: bool = False, quiet: bool = False, plot: str = "", at_once: int = 0) -> dict[str, Any]:
     """One run through all steps; the report that is also printed."""
     made = Trial(instances, seed, rate or 8.0 * instances, full, members)
     half, found = instances // 2, {}
@@ -268,7 +268,7 @@
             made.back([stopped])
             step(steps[4])
             lives = {r["instance"]: r["life"] for r in made.status()["places"]}
-            made.ask("POST", "/v1/fleet/restart", {"atOnce": max(1, instances // 5)})
+            made.ask("POST", "/v1/fleet/restart", {"atOnce": at_once or max(1, instances // 5)})
             found["rollingSeconds"] = made.until(lambda s: bool(s["rolling"] and s["rolling"]["over"]), 180, "restart")
             rolled = made.status()
             found["rolled"] = sum(r["life"] == lives[r["instance"]] + 1 for r in rolled["places"])
