--- a/brackenpulley/fleet/rolling.py
+++ b/brackenpulley/fleet/rolling.py
@@ -11,6 +11,13 @@
 from .instance import ALIVE, CRASHED, READY, WAITING, Instance
 
 
+def spaced(numbers: list[int], at_once: int) -> list[int]:
+    """An order in which those that are away together are far from each other: a firm's set is neighbouring numbers
+    (PROTOCOL, spread and first), and a set that is away as a whole leaves its firm without an ingress."""
+    stride = max(1, len(numbers) // at_once)
+    return [numbers[place] for offset in range(stride) for place in range(offset, len(numbers), stride)]
+
+
 @dataclass(slots=True)
 class Rolling:
     left: list[int]  # not touched yet, in order
--- a/brackenpulley/fleet/supervisor.py
+++ b/brackenpulley/fleet/supervisor.py
@@ -28,7 +28,7 @@
 from .notify import CREDENTIALS, LARGEST, Notifier, parse, sender, watchdog
 from .process import CLOCK, FLEET, MARK, PLACE, PLACES, Output, Process, search, spawn
 from .reload import Reload
-from .rolling import Rolling
+from .rolling import Rolling, spaced
 from .routes import fleet_routes
 from .sharing import Sharing, Word
 from .spec import Fleet, check_count
@@ -453,7 +453,7 @@
         found = [n for n in self.chosen(numbers) if n not in self.state.stopped]
         if self.rolling is not None and not self.rolling.over:
             raise ConfigError("restart: one is under way already")
-        self.rolling = Rolling(found, at_once, self.spec.stop.notice_s, self.loop.clock())
+        self.rolling = Rolling(spaced(found, at_once), at_once, self.spec.stop.notice_s, self.loop.clock())
         self.log.info("rolling", instances=len(found), at_once=at_once)
         self.soon()
         return self.rolling
--- a/brackenpulley/health/service.py
+++ b/brackenpulley/health/service.py
@@ -68,8 +68,9 @@
     def vitals(self) -> Vitals:
         now = self.loop.clock()
         heard = getattr(self.daemon.discovery, "heard_at", 0.0)
-        return Vitals(self.lag.worst(now), self._descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0],
-                      self._memory, float(self.daemon.config.memory_mb), now - heard if heard else None)
+        most = min(self.daemon.config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        return Vitals(self.lag.worst(now), self._descriptors, most, self._memory,
+                      float(self.daemon.config.memory_mb), now - heard if heard else None)
 
     def status(self) -> dict[str, Any]:
         return dict(self.vitals().row(self.bounds))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -31,7 +31,7 @@
     Times,
 )
 from brackenpulley.fleet.lines import Backlog, Ring, Splitter, merged
-from brackenpulley.fleet.rolling import Rolling
+from brackenpulley.fleet.rolling import Rolling, spaced
 from brackenpulley.fleet.sharing import MARGIN, Sharing, Told
 from brackenpulley.fleet.spec import decode
 from brackenpulley.health.vitals import WINDOW, Bounds, Lag, Vitals
@@ -256,6 +256,17 @@
     assert roll.failed == "instance 0: exit 2: listen: taken"
 
 
+@given(st.integers(1, 100), st.integers(1, 30))
+@settings(derandomize=True, deadline=None, max_examples=200)
+def test_those_away_together_are_far_apart(count: int, at_once: int) -> None:
+    order = spaced(list(range(count)), at_once)
+    assert sorted(order) == list(range(count))
+    stride = max(1, count // at_once)
+    for start in range(len(order)):  # whichever ones of the order are under way
+        away = sorted(order[start:start + at_once])
+        assert all(b - a >= stride - 1 for a, b in zip(away, away[1:], strict=False))
+
+
 # Shares.
 
 
