--- a/brackenpulley/core/message.py
+++ b/brackenpulley/core/message.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 from ..policy.interface import Settings
@@ -11,6 +12,7 @@
 MARGIN = 0.03  # s kept back of a client's time: it counts from its sending, and our answer has a way to go
 UNITS = {"m": 1e-3, "u": 1e-6, "S": 1.0, "M": 60.0, "H": 3600.0, "n": 1e-9}  # gRPC's letters, of which we use m and u
 LONGEST = 3600.0
+SHORT = 64  # characters of a header whose reading is remembered
 HEX = frozenset("0123456789abcdefABCDEF")
 CONTROL = frozenset(("x-request-id", "x-priority-class", "x-tariff", "x-timeout", "x-weight", "idempotency-key"))
 
@@ -46,6 +48,10 @@
 
 def weight(text: str) -> tuple[float, int, int]:
     """'units=2,spread=3,first=1'; what is not named keeps its usual value."""
+    return _usual(text) if len(text) <= SHORT else _weight(text)
+
+
+def _weight(text: str) -> tuple[float, int, int]:
     found: dict[str, int] = {}
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
@@ -56,6 +62,9 @@
     return float(found.get("units", 1)), found.get("spread", 1), found.get("first", 0)
 
 
+_usual = lru_cache(1024)(_weight)  # clients say few different things
+
+
 def check(m: Message, s: Settings, plans: Container[str]) -> None:
     """What the settings leave no room for never reaches the module: it would spoil a customer's quota and estimates."""
     if all(c.name != m.cls for c in s.classes):
--- a/brackenpulley/fleet/cold.py
+++ b/brackenpulley/fleet/cold.py
@@ -5,7 +5,7 @@
 what they were told last. So the divisor is the greatest of
 
     what the supervisor says and what membership sees;
-    the most instances there may be (the addresses described), while this instance is young: it can't know yet;
+    the most instances there may be (`most` in [members]), while this one is young: it cannot know yet;
     what servers report: a server with twelve attempts in hand, two of them ours, has six such as we.
 
 No single one of them may be trusted to be there: a supervisor may be gone, membership off, servers may report nothing.
--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -43,6 +43,7 @@
     def __init__(self, clock: Callable[[], float], metrics: Metrics, log: Any) -> None:
         self.clock, self.metrics, self.log = clock, metrics, log
         self._selector = selectors.DefaultSelector()
+        self._keys: dict[int, selectors.SelectorKey] = {}  # by descriptor; the selector's own map is slow to ask
         self._heap: list[tuple[float, int, Timer]] = []
         self._serial = self._cancelled = 0
         self._urgent: set[Watchable] = set()
@@ -52,25 +53,26 @@
         self.running = False
 
     def register(self, sock: Watchable, events: int, ready: Ready, urgent: bool = False) -> None:
-        self._selector.register(sock, events, ready)
+        key = self._selector.register(sock, events, ready)
+        self._keys[key.fd] = key
         if urgent:  # served before the others of a turn
             self._urgent.add(sock)
 
     def want(self, sock: Watchable, events: int, ready: Ready) -> None:
         """Ask for these events, or for none; `ready` counts where the socket was not registered."""
-        if sock.fileno() < 0:
+        if (number := sock.fileno()) < 0:
             return
-        key = self._selector.get_map().get(sock)
+        key = self._keys.get(number)
         if key is None:
             if events:
-                self._selector.register(sock, events, ready)
+                self.register(sock, events, ready)
         elif not events:
             self.forget(sock)
         elif key.events != events:
-            self._selector.modify(sock, events, key.data)
+            self._keys[number] = self._selector.modify(sock, events, key.data)
 
     def forget(self, sock: Watchable) -> None:
-        self._selector.unregister(sock)
+        del self._keys[self._selector.unregister(sock).fd]
         self._urgent.discard(sock)
 
     def call_at(self, when: float, call: Callable[[], None]) -> Timer:
@@ -130,9 +132,8 @@
         if self._urgent and len(ready) > 1:
             ready.sort(key=lambda pair: pair[0].fileobj not in self._urgent)
         for key, events in ready:
-            # An earlier call of this turn may have closed it, and its number may be another's by now. Asked by number:
-            # a closed socket has none, and the selector raises when asked for it.
-            if self._selector.get_map().get(key.fd) is key:
+            # An earlier call of this turn may have closed it, and its number may be another's by now.
+            if self._keys.get(key.fd) is key:
                 try:
                     key.data(events)
                 except Exception:  # a fault in one connection must not take the others with it
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -11,6 +11,7 @@
 
 TARGET = 8192  # most bytes of a message's target
 WIRE = 8 * BODY  # and of all it takes on the wire, however it is cut into chunks
+READ = {name.encode(): name for name in (*CONTROL, "x-retried", "x-reservation", "connection")}  # the rest passes by
 REASON = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
           409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
           431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
@@ -113,18 +114,22 @@
 
 
 def message(payload: Payload) -> Message:
-    try:
-        named: dict[str, str] = {}
-        for name, value in ((n.decode("ascii"), v.decode("ascii")) for n, v in payload.headers):
+    named: dict[str, str] = {}
+    for field, value in payload.headers:
+        if not (value.isascii() and field.isascii()):
+            raise MessageError("headers: not ASCII")
+        if name := READ.get(field):
             if name in named and name in CONTROL:  # two readers of it could take two different ones
                 raise MessageError(f"{name}: twice")
-            named[name] = value
-        path = payload.target.decode("ascii")
-    except UnicodeDecodeError:
-        raise MessageError("headers: not ASCII") from None
-    own = {part.strip().encode() for part in named.get("connection", "").lower().split(",")}  # named as this hop's own
-    payload.headers = [h for h in payload.headers if h[0] not in HOP and (h[0] not in own or h[0] in KEPT)]
-    return decode(named, path, payload)
+            named[name] = value.decode("ascii")
+    if not payload.target.isascii():
+        raise MessageError("headers: not ASCII")
+    headers = [h for h in payload.headers if h[0] not in HOP]
+    if "connection" in named:  # what it names is this hop's own
+        own = {part.strip().encode() for part in named["connection"].lower().split(",")}
+        headers = [h for h in headers if h[0] not in own or h[0] in KEPT]
+    payload.headers = headers
+    return decode(named, payload.target.decode("ascii"), payload)
 
 
 def encode(status: int, body: bytes, keep: bool, after: float = 0.0, headers: list[tuple[bytes, bytes]] | None = None,
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -437,13 +437,13 @@
                 asked = (self.servers.get(name) for name in dict.fromkeys(self.asked))
                 some = [s for s in asked if s and s.e.state == "up"] + some[:1]
                 self.acts.append(i.Probe(self.rng.choice(up).e.server))
-        return self.best(now, q, group, some) or self.best(now, q, group, up)
+        return some and self.best(now, q, group, some) or self.best(now, q, group, up)
 
     def best(self, now: float, q: Held, group: Server | None, some: list[Server]) -> Server | None:
-        spec, best, least = q.loop.spec, None, math.inf
+        spec, best, least, several = q.loop.spec, None, math.inf, len(self.servers) > 1
         for s in some:
-            warm = s.warmth(now, self.s)
-            wrong = not group.mate(s, spec.group) if group else s is q.server and len(self.servers) > 1
+            warm = s.warmth(now, self.s) if s.cold else 1.0
+            wrong = not group.mate(s, spec.group) if group else s is q.server and several
             if wrong or warm < 1 and not self.cold_room(now, s, warm):
                 continue
             if s.aside:
@@ -452,10 +452,11 @@
                     return s
                 continue
             queue = (s.queue if now - s.told_at < STALE else self.queue) / CORES
-            wait = (1 + (len(s.out) + queue) * self.servers.size / max(s.e.size, 0.01)) / warm
-            slow = 1 + (s.slow - 1) * math.exp(min(0.0, s.answered - now) / FADE)
-            silent = (now - s.unheard()) / (SILENT * q.loop.mean) if s.out else 0.0
-            wait *= max(slow, silent) / (1 - s.err) ** 2
+            wait = (1 + (len(s.out) + queue) * s.part) / warm
+            slow = 1 + (s.slow - 1) * math.exp((s.answered - now) / FADE if s.answered < now else 0.0)
+            if s.out and (silent := (now - s.unheard()) / (SILENT * q.loop.mean)) > slow:
+                slow = silent
+            wait *= slow / (1 - s.err) ** 2
             wait *= (1.0 if s.e.zone == self.s.zone else CROSS) * (1 + 0.05 * self.rng.random())
             if wait < least:
                 best, least = s, wait
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -82,6 +82,8 @@
     wait: float = 0.0  # until the next trial; 0 = not set aside of late
     tokens: float = 0.0  # cold budget
     tokens_at: float = NEVER
+    cold: bool = True  # for all that is known
+    part: float = 1.0  # the average size over its own
 
     def oldest(self) -> float:
         """When the oldest attempt that is out was sent."""
@@ -102,7 +104,10 @@
 
     def warmth(self, now: float, settings: Settings) -> float:
         """The least share of its capacity that it has by now."""
+        if not self.cold:
+            return 1.0
         age = (now - self.e.started) / settings.cold_time if self.e.started and settings.cold_time else 1.0
+        self.cold = age < 1
         return min(1.0, settings.cold_from + (1 - settings.cold_from) * max(0.0, age)) if age < 1 else 1.0
 
     def mate(self, other: Server, group: str) -> bool:
@@ -142,6 +147,8 @@
         self.busy = {name: s for name, s in self.items() if s.out}
         self.apart = {name: s for name, s in self.items() if s.aside}
         self.size, self.stale = sum(s.e.size for s in self.values()) / max(1, len(self)), True
+        for s in self.values():
+            s.part = self.size / max(s.e.size, 0.01)
 
     def count(self, late: float) -> None:
         """Attempts sent by `late` are overdue, and a server of which nothing has been heard since is not in use."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -280,8 +280,8 @@
 
 @pytest.mark.parametrize("name", ["exchange", "ingress", "message"])
 def test_the_core_imports_no_wire(name: str) -> None:
-    allowed = {"__future__", "collections", "collections.abc", "dataclasses", "typing", ".exchange", ".message",
-               "..metrics", "..policy", "..policy.brain", "..policy.interface"}
+    allowed = {"__future__", "collections", "collections.abc", "dataclasses", "functools", "typing", ".exchange",
+               ".message", "..metrics", "..policy", "..policy.brain", "..policy.interface"}
     assert imports(ROOT / "brackenpulley" / "core" / f"{name}.py") <= allowed
 
 
