Test of the time of day that steps by an hour, with real instances before and after it

Need: the step was caused only in the function that sets the clock. Change: a fleet of one counts; from then on whatever starts believes that it is an hour later; the second instance must count under the first one's names.

--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -22,6 +22,7 @@
 from brackenpulley.fleet.notify import parse
 from brackenpulley.fleet.process import search
 from brackenpulley.serve import wall_clock
+from brackenpulley.standins.clients import Firm
 
 
 @pytest.fixture
@@ -251,6 +252,33 @@
     assert len(json.loads(done.stdout)[0]["keys"]) == 1
 
 
+def test_instances_started_after_a_step_of_an_hour_count_under_the_names_of_those_before(
+        made: Callable[..., Trial]) -> None:
+    one = made(1)
+    config = json.loads((one.folder / "ingress.json").read_text())
+    for plan in config["settings"]["TiersOfService"]:
+        plan.update(QuotaRate=6.0, Burst=24.0)
+    (one.folder / "ingress.json").write_text(json.dumps(config))
+    one.load.firms = [Firm(7, "county", 30.0, 2, 0)]
+    one.run()
+    one.all_ready(1, 30, "start")
+    one.load.start()
+    one.until(lambda s: one.counter.calls > 3, 30, "counting")
+    # From here on whatever starts believes that it is an hour later.
+    (one.folder / "sitecustomize.py").write_text("import time\nreal = time.time\ntime.time = lambda: real() + 3600\n")
+    one.file.write_text(one.file.read_text() + f'[environment]\nPYTHONPATH = "{one.folder}"\n')
+    change(one, "instances = 1", "instances = 2")
+    one.ask("POST", "/v1/fleet/reload", {})
+    one.all_ready(2, 30, "one after the step")
+    pid = one.status()["places"][1]["pid"]
+    assert str(one.folder).encode() in Path(f"/proc/{pid}/environ").read_bytes()
+    told = Control(f"unix:{one.folder}/run/1.sock")
+    one.until(lambda s: told.call("GET", "/v1/counters").get("counts", 0) > 3, 30, "the second one counts")
+    here = int(one.clock() // 30)
+    assert {int(name) >> 33 for name in one.counter.numbers} <= {here - 2, here - 1, here}
+    one.load.stop()
+
+
 def test_a_step_of_the_time_of_day_does_not_divide_a_fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Names of the counter go by the fleet's clock: whoever starts after the step must use those of before."""
     from brackenpulley.fleet.files import keep
