Fleet reread: addresses read once, dead state out, a list from a file has an age too

Cause, found on reading the change again: a daemon whose list comes from [xds] was told to have no list for ever, since health asked for an attribute that only discovery had and took its absence for silence; each instance's configuration read all addresses of the description anew; the supervisor kept a flag that nobody read, spelt an instance's control socket four times, and three commands spelt the same wait.

--- a/brackenpulley/commands/fleet.py
+++ b/brackenpulley/commands/fleet.py
@@ -137,7 +137,9 @@
     return all(row["state"] in SETTLED for row in found["places"])
 
 
-def _brief(found: dict[str, Any], as_json: bool) -> None:
+def _brief(control: Control, wait: float, over: Callable[[dict[str, Any]], bool], what: str, as_json: bool) -> None:
+    """How the fleet stands once that is over, or now where nobody waits."""
+    found = _wait(control, wait, over, what) if wait else call(control, "GET", "/v1/fleet")
     rows = {"ready": found["ready"], "instances": found["instances"], "stopped": found["stopped"],
             "crashed": [row["instance"] for row in found["places"] if row["state"] == "crashed"]}
     show(rows, as_json, list(rows), [list(rows.values())])
@@ -150,7 +152,7 @@
     """Start what is stopped, or was given up as a crash loop."""
     control = _control(file)
     call(control, "POST", "/v1/fleet/start", _body(instances))
-    _brief(_wait(control, wait, _settled, "start") if wait else call(control, "GET", "/v1/fleet"), as_json)
+    _brief(control, wait, _settled, "start", as_json)
 
 
 @app.command()
@@ -172,7 +174,7 @@
         show(found, as_json)
         return
     call(control, "POST", "/v1/fleet/stop", _body(instances))
-    _brief(_wait(control, wait, _settled, "stop") if wait else call(control, "GET", "/v1/fleet"), as_json)
+    _brief(control, wait, _settled, "stop", as_json)
 
 
 @app.command()
@@ -213,7 +215,7 @@
     def over(found: dict[str, Any]) -> bool:
         return _settled(found) and len(found["places"]) == instances
 
-    _brief(_wait(control, wait, over, "scale") if wait else call(control, "GET", "/v1/fleet"), as_json)
+    _brief(control, wait, over, "scale", as_json)
 
 
 @app.command()
--- a/brackenpulley/fleet/files.py
+++ b/brackenpulley/fleet/files.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..address import ConfigError
+from ..address import Address, ConfigError
 from ..config import Config, decode
 from ..members.transport import text
 from ..operator import decode_text
@@ -28,6 +28,11 @@
     raw: dict[str, Any]
     operator: str  # TOML with its placeholders
     mark: str = field(default="")
+    listens: list[Address] = field(init=False)  # read once: each instance looks its own up
+    members: list[Address] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.listens, self.members = self.spec.listens(), self.spec.members()
 
     @classmethod
     def read(cls, spec: Fleet) -> Base:
@@ -67,12 +72,12 @@
         limits = {**self.raw.get("limits", {}), **{name: value for name, value in (
             ("sockets", self.spec.limits.sockets), ("memory_mb", self.spec.limits.memory_mb)) if value is not None}}
         return {**self.raw, "name": f"{self.spec.fleet.name}-{number}", "limits": limits,
-                "listen": text(self.spec.listens()[number]),
+                "listen": text(self.listens[number]),
                 "settings": {**self.raw["settings"], "NInstances": gateways, "MyNumber": number % gateways}}
 
     def operators(self, number: int) -> str:
         """The operator's file of one instance."""
-        members = self.spec.members()
+        members = self.members
         filled = {"{instance}": str(number), "{name}": f"{self.spec.fleet.name}-{number}",
                   "{run}": self.spec.fleet.run, "{member}": text(members[number]) if members else "",
                   "{seeds}": ", ".join(f'"{text(at)}"' for at in members[:3])}
--- a/brackenpulley/fleet/reload.py
+++ b/brackenpulley/fleet/reload.py
@@ -47,7 +47,7 @@
         running = [number for number, place in supervisor.places.items() if place.process is not None]
         try:
             for number in running:
-                if number < len(base.spec.listens()):
+                if number < len(base.listens):
                     base.write(number, supervisor.spec.fleet.instances)
         except OSError as error:
             for number in running:
--- a/brackenpulley/fleet/supervisor.py
+++ b/brackenpulley/fleet/supervisor.py
@@ -77,7 +77,7 @@
         self.own = Notifier(os.environ)
         self._own_watchdog = watchdog(os.environ)
         self._own_sign = 0.0
-        self._said_ready = self._detached = False
+        self._said_ready = False
         self._notify: socket.socket | None = None
         self.control: ControlServer | None = None
         self._soon = False
@@ -114,7 +114,7 @@
         routes = Routes()
         fleet_routes(routes, self)
         self.control = ControlServer(self.loop, Pool(), routes, self.metrics)
-        self.control.listen(self.spec.control.removeprefix("unix:"))
+        self.control.listen(self.spec.control)
 
     def end(self) -> None:
         """Stop all in order; asked a second time, without waiting for the front to notice."""
@@ -131,7 +131,6 @@
 
     def detach(self) -> None:
         """End alone: the instances go on, and the next supervisor takes them over."""
-        self._detached = True
         self.log.info("detaching", instances=sum(p.process is not None for p in self.places.values()))
         self.loop.call_in(SOON, self.loop.stop)
 
@@ -154,6 +153,10 @@
 
     # Places.
 
+    def _sock(self, number: int) -> str:
+        """The path of an instance's control socket."""
+        return str(self.run / f"{number}.sock")
+
     def _fit(self) -> None:
         """As many places as are wanted; those over it are stopped and then forgotten."""
         now = self.loop.clock()
@@ -169,7 +172,7 @@
     def _place(self, number: int) -> Place:
         s = self.spec
         times = Times(s.start.ready_s, s.stop.deadline_s, s.stop.notice_s, s.watch.watchdog_s)
-        listens = s.listens()
+        listens = self.base.listens
         at = listens[number] if number < len(listens) else ("127.0.0.1", 0)
         output = Output(self.loop, self.run / f"{number}.log", lambda line: self._line(number, line))
         place = self.places[number] = Place(Instance(number, times, s.pace, self.rng), at, output)
@@ -212,7 +215,7 @@
             self.sharing.found(number, int(told["floor"]), int(told["count"]), float(told["until"]))
             self.soon()
 
-        place.words = Call(self.loop, str(self.run / f"{number}.sock"), "POST", "/v1/gateways/fence",
+        place.words = Call(self.loop, self._sock(number), "POST", "/v1/gateways/fence",
                            b'{"serial":%d}' % self.sharing.fence, PATIENCE, heard)
 
     # The turn.
@@ -284,9 +287,9 @@
     def _spawn(self, place: Place, now: float, count: int) -> None:
         number = place.one.number
         env = {**os.environ, **self.spec.environment, "BALANCER_CONFIG": str(self.run / f"{number}.json"),
-               "BALANCER_CONTROL": f"unix:{self.run}/{number}.sock", "NOTIFY_SOCKET": str(self.run / "notify.sock"),
+               "BALANCER_CONTROL": f"unix:{self._sock(number)}", "NOTIFY_SOCKET": str(self.run / "notify.sock"),
                FLEET: str(self.run), PLACE: str(number), MARK: self.base.mark, CLOCK: repr(self.state.clock),
-               PLACES: str(self.base.gateways(len(self.spec.listens())))}
+               PLACES: str(self.base.gateways(len(self.base.listens)))}
         for name in ("BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "BALANCER_OPERATOR", "WATCHDOG_PID",
                      "WATCHDOG_USEC"):
             env.pop(name, None)
@@ -294,9 +297,8 @@
             env["BALANCER_OPERATOR"] = str(self.run / f"{number}.toml")
         if self.spec.watch.watchdog_s:
             env["WATCHDOG_USEC"] = str(int(self.spec.watch.watchdog_s * 1e6))
-        listens = self.spec.listens()
         try:
-            place.at = listens[number]
+            place.at = self.base.listens[number]
             self.base.write(number, count)
             child = spawn(env, place.output)
             if (sockets := self.spec.limits.sockets) is not None:
@@ -337,7 +339,7 @@
     def _do(self, place: Place, actions: list[Do]) -> None:
         for action in actions:
             if isinstance(action, Drain):
-                Call(self.loop, str(self.run / f"{place.one.number}.sock"), "POST", "/v1/drain", b"{}", PATIENCE,
+                Call(self.loop, self._sock(place.one.number), "POST", "/v1/drain", b"{}", PATIENCE,
                      lambda status, body: None)
             elif place.process is not None:
                 if action.number == signal.SIGKILL:
@@ -382,7 +384,7 @@
 
         body = json.dumps({"serial": word.serial, "count": word.count, "until": word.until,
                            "part": self.spec.fleet.part})
-        place.words = Call(self.loop, str(self.run / f"{word.number}.sock"), "POST", "/v1/gateways", body.encode(),
+        place.words = Call(self.loop, self._sock(word.number), "POST", "/v1/gateways", body.encode(),
                            PATIENCE, heard)
 
     # What comes in.
@@ -531,4 +533,3 @@
                 "log": self.stream.status(),
                 "clockStepSeconds": round(time.time() - time.monotonic() - self.state.clock, 3),
                 "counters": self.metrics.table()}
-
--- a/brackenpulley/health/service.py
+++ b/brackenpulley/health/service.py
@@ -67,7 +67,7 @@
 
     def vitals(self) -> Vitals:
         now = self.loop.clock()
-        heard = getattr(self.daemon.discovery, "heard_at", 0.0)
+        heard = self.daemon.discovery.heard_at if self.daemon.discovery is not None else 0.0
         most = min(self.daemon.config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         return Vitals(self.lag.worst(now), self._descriptors, most, self._memory,
                       float(self.daemon.config.memory_mb), now - heard if heard else None)
--- a/brackenpulley/xds/source.py
+++ b/brackenpulley/xds/source.py
@@ -100,6 +100,7 @@
     def __init__(self, loop: Loop, inventory: Inventory, part: XdsPart, metrics: Metrics, log: Any) -> None:
         self.loop, self.inventory, self.part, self.metrics, self.log = loop, inventory, part, metrics, log
         self.heard = False
+        self.heard_at = 0.0  # when the file was last there as it was last taken
         self._seen: tuple[int, int, int] | None = None
         self._said = ""
         self._stopped = False
@@ -113,6 +114,8 @@
             if identity != self._seen:
                 self._seen = identity
                 self._read()
+            if not self._said:
+                self.heard_at = self.loop.clock()
         except (OSError, XdsError) as error:
             self.metrics.add("xds_errors")
             if str(error) != self._said:
