--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -229,7 +229,7 @@
         now = self.clock()
         until = min(exchange.until, now + a.timeout) if a.timeout > 0 else exchange.until
         exchange.timer = self.timers.call_at(until, lambda: self._expired(exchange))
-        self.metrics.add("relays")
+        self.metrics.at("relays", a.server)
         if self.holds is not None and exchange.attempt < 0 and exchange.message.reservation:
             self.holds.used(exchange.message)
         exchange.relay(a.server, now, until - now, lambda n, end: self._ended(exchange, n, end))
@@ -238,7 +238,7 @@
         """A relay is over: a served one goes to the client by itself, and the module hears of each."""
         now, m = self.clock(), exchange.message
         exchange.timer.cancel()
-        self.metrics.add("relay_" + end.status)
+        self.metrics.at("relay_" + end.status, exchange.server)
         event = i.Outcome(m.id, exchange.server, attempt, end.status, now - exchange.sent, exchange.over,
                           end.used, end.cost, end.load)
         if end.status == "ok" and not exchange.over:
@@ -274,6 +274,8 @@
 
     def _refuse(self, a: i.Refuse) -> None:
         if exchange := self.held.get(a.id):
+            if a.why:
+                self.metrics.add("refused_" + a.why)
             self._finish(exchange, Answer("back-off", 503 if exchange.attempt >= 0 else 429, a.after))
         else:
             self._reserving = a
--- a/brackenpulley/extras.py
+++ b/brackenpulley/extras.py
@@ -74,6 +74,12 @@
         d.ingress.ledger = d.ledger
 
 
+def seconds(d: Daemon) -> None:
+    if d.config.operator.seconds:
+        from .growth.tally import Tally
+        Tally(d.loop, d.metrics, d.ingress.gateway, d.log)
+
+
 def health(d: Daemon) -> None:
     if d.config.operator.control is not None or os.environ.get("NOTIFY_SOCKET"):
         from .health.service import HealthService
@@ -110,4 +116,5 @@
     d.control = ControlServer(d.loop, d.pool, routes, d.metrics)
 
 
-EXTRAS = (authz_server, authz_client, xds_file, plans, reservations, leases, ledger, health, gateways, members, control)
+EXTRAS = (authz_server, authz_client, xds_file, plans, reservations, leases, ledger, seconds, health, gateways, members,
+          control)
--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import heapq
+import os
 import selectors
 import signal
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -37,6 +37,22 @@
     def fileno(self) -> int: ...
 
 
+class Pipe:
+    """The way from a signal to the loop. Not a pair of sockets: those would be Unix sockets, which run may not have."""
+
+    def __init__(self) -> None:
+        self.read, self.write = os.pipe()
+        os.set_blocking(self.read, False)
+        os.set_blocking(self.write, False)
+
+    def fileno(self) -> int:
+        return self.read
+
+    def close(self) -> None:
+        os.close(self.read)
+        os.close(self.write)
+
+
 class Loop:
     """Owns the selector. A socket is owned by who registered it, who also forgets it before closing it."""
 
@@ -49,7 +65,7 @@
         self._urgent: set[Watchable] = set()
         self._soon: deque[Callable[[], None]] = deque()
         self._signals: dict[int, Callable[[], None]] = {}
-        self._wake: socket.socket | None = None
+        self._wake: Pipe | None = None
         self.running = False
 
     def register(self, sock: Watchable, events: int, ready: Ready, urgent: bool = False) -> None:
@@ -97,18 +113,15 @@
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         if self._wake is None:
-            self._wake, write = socket.socketpair()
-            self._wake.setblocking(False)
-            write.setblocking(False)
-            self._wake_write = write
-            signal.set_wakeup_fd(write.fileno(), warn_on_full_buffer=False)
+            self._wake = Pipe()
+            signal.set_wakeup_fd(self._wake.write, warn_on_full_buffer=False)
             self.register(self._wake, READ, self._signalled)
         self._signals[number] = call
         signal.signal(number, lambda *_: None)
 
     def _signalled(self, events: int) -> None:
         assert self._wake is not None
-        for number in self._wake.recv(64):
+        for number in os.read(self._wake.read, 64):
             if number in self._signals:
                 self._signals[number]()
 
@@ -168,6 +181,5 @@
                 signal.signal(number, signal.SIG_DFL)
             self.forget(self._wake)
             self._wake.close()
-            self._wake_write.close()
             self._wake = None
         self._selector.close()
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -139,7 +139,7 @@
             return None
         conn = Conn(sock, key, now)
         self.count += 1
-        self.metrics.add("connects")
+        self.metrics.at("connects", key[0])
         self.loop.register(sock, WRITE, lambda events: self._event(conn, events))
         return conn
 
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -96,6 +96,7 @@
     leases: LeasePart | None = None
     ledger: LedgerPart | None = None
     members: MembersPart | None = None
+    seconds: bool = False  # one line of the log a second: what was counted in it
 
 
 def _table(raw: Any, name: str, known: set[str]) -> dict[str, Any] | None:
@@ -215,7 +216,7 @@
 
 def decode(raw: dict[str, Any]) -> Operator:
     top = _table(raw, "operator", {"authz", "xds", "control", "plans", "reservations", "leases", "ledger",
-                                   "members"}) or {}
+                                   "members", "log"}) or {}
     authz = _table(top.get("authz"), "authz", {"server", "client"}) or {}
     server = client = xds = None
     name = "authz.server"
@@ -239,8 +240,11 @@
         control = ControlPart(local(_text(part, "control", "listen"), "control.listen"))
     if (part := _table(top.get("plans"), "plans", {"snapshot"})) is not None:
         plans = PlansPart(_text(part, "plans", "snapshot"))
+    log = _table(top.get("log"), "log", {"seconds"}) or {}
+    if not isinstance(seconds := log.get("seconds", False), bool):
+        raise ConfigError(f"log.seconds: {seconds!r} is neither true nor false")
     return Operator(server, client, xds, control, plans, _reservations(top.get("reservations")),
-                    _leases(top.get("leases")), _ledger(top.get("ledger")), _members(top.get("members")))
+                    _leases(top.get("leases")), _ledger(top.get("ledger")), _members(top.get("members")), seconds)
 
 
 def decode_text(text: str, name: str) -> Operator:
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -113,12 +113,13 @@
     def request(self, now: float, r: i.Request) -> None:
         loop, c = self.loops.get(r.cls), self.customer(now, r)
         if loop is None or c is None and self.plans:  # a class or plan that the settings do not know
-            return self.refuse(r.id, 0.0)
+            return self.refuse(r.id, 0.0, "unknown")
         loop.fill(now)
         after = self.over_quota(now, c, r.units - r.held) if c and r.units > r.held else 0.0
-        crowded = after > 0 or loop.tokens < 1 or r.left < HASTE * loop.mean or self.crowded(now, loop)
-        if crowded or not self.send(now, q := Held(r, loop, c, now + r.left)):
-            return self.refuse(r.id, max(after, (1 - loop.tokens) / loop.rate, loop.mean))
+        why = ("quota" if after > 0 else "rate" if loop.tokens < 1 else "haste" if r.left < HASTE * loop.mean
+               else "room" if self.crowded(now, loop) else "")
+        if why or not self.send(now, q := Held(r, loop, c, now + r.left)):
+            return self.refuse(r.id, max(after, (1 - loop.tokens) / loop.rate, loop.mean), why or "servers")
         loop.tokens, loop.sent, self.reqs[r.id] = loop.tokens - 1, loop.sent + 1, q
         if c:
             c.tries, q.plan = c.tries + 1, c.plan.name
@@ -133,8 +134,8 @@
         loop.busy = loop.busy or out >= few / 2
         return out >= max(few, self.pace * self.aim * CROWD) * loop.part
 
-    def refuse(self, rid: str, after: float) -> None:
-        self.acts.append(i.Refuse(rid, min(after, self.s.max_retry_after) if self.s.retry_after else 0.0))
+    def refuse(self, rid: str, after: float, why: str) -> None:
+        self.acts.append(i.Refuse(rid, min(after, self.s.max_retry_after) if self.s.retry_after else 0.0, why))
 
     def send(self, now: float, q: Held) -> bool:
         spec, group = q.loop.spec, None
@@ -185,7 +186,7 @@
             self.over(now, q, False)
             # A refusal says that another try is harmless: if this one may have run, its class must allow it.
             if q.ran is None or spec.effect == "safe" or spec.effect == "keyed" and spec.group == "all":
-                self.refuse(o.id, q.loop.mean)
+                self.refuse(o.id, q.loop.mean, "servers")
             else:
                 self.acts.append(i.Fail(o.id))
 
@@ -263,7 +264,7 @@
         c = self.customer(now, r)
         after = self.over_quota(now, c, r.units) if c else 0.0
         if c is None and self.plans or after > 0:
-            return self.refuse(r.id, after)
+            return self.refuse(r.id, after, "quota")
         if c:
             self.hold(now, c, r.units)
         self.acts.append(i.Reserved(r.id))
@@ -452,7 +453,7 @@
                     return s
                 continue
             queue = (s.queue if now - s.told_at < STALE else self.queue) / CORES
-            wait = (1 + (len(s.out) + queue) * s.part) / warm
+            wait = 1 + (len(s.out) + queue) * s.part  # a cold one's budget counts its warmth already
             slow = 1 + (s.slow - 1) * math.exp((s.answered - now) / FADE if s.answered < now else 0.0)
             if s.out and (silent := (now - s.unheard()) / (SILENT * q.loop.mean)) > slow:
                 slow = silent
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -292,6 +292,7 @@
 class Refuse:
     id: str
     after: float = 0.0  # advice; 0 = none
+    why: str = ""  # quota, rate, haste, room, servers; "" = not told
 
 
 @dataclass(slots=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -269,6 +269,26 @@
     assert 1 <= sent <= 3 * 0.5 * 2.0 * 2.0
 
 
+def test_many_gateways_use_what_cold_servers_can_bear() -> None:
+    """At each of 40 gateways a warm server has one attempt out at most: weighed by warmth none was ever worse."""
+    to_cold = to_warm = 0
+    for me in range(40):
+        d = Drive(0, gateways=40, me=me, cold_time=18.0, counter=False)
+        d.g.rng.seed(me)
+        d.g.warm_rate = 0.15  # six a second at a warm server, from all of them
+        d.do(ServerList("full", [ServerEntry(f"s{n}", started=995.0 if n < 36 else 0.0) for n in range(60)]))
+        for _ in range(20):
+            d.now += 0.1
+            for send in of(Send, d.ask(customer=d.serial)):
+                to_cold += int(send.server[1:]) < 36
+                to_warm += int(send.server[1:]) >= 36
+                d.do(Outcome(send.id, send.server, 0, "ok", d.g.loops["check"].mean, closed=True))
+    assert to_cold + to_warm == 800
+    # 36 servers, 2 s, 0.42 warm at least: so much would fell them, at three times what they can do.
+    fells = 3 * 36 * 2.0 * 0.42 * 6.0
+    assert fells / 16 < to_cold < fells / 2  # 52; 7 where they were weighed by warmth
+
+
 def test_where_attempts_are_few_a_server_is_probed_and_a_queue_told_is_kept_away_from() -> None:
     """With hundreds of gateways own attempts say nothing of a server: busy ones got their share all the same."""
     few = Drive(servers=8, probes=True)
