Watch discovery from the version held, back off with jitter, leave servers that only turn away

The status of the ended calls, now in the log. Lines: Discovery._broken asked again at once or after 0.1 s; Discovery.start asked for the whole list and then for a watch, two calls where one would do; Gateway.judge took each turning away for a sample as long as the deadline. Change: waits double from 0.1 to 2 s with full jitter; a list from the configuration is enough to watch from, and a 429 or 5xx leaves it so; a message turned away becomes a sample only once its server answers again, and a server that turned away two in a row is set aside. Each has a test that fails without it.

--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -68,7 +68,8 @@
     raise typer.Exit(run(seconds, seed, as_json))
 
 
-GROUPS = ("control", "fleet", "ledger", "members", "plans", "reservations")  # of commands, in brackenpulley.commands
+# Of commands, in brackenpulley.commands.
+GROUPS = ("control", "fleet", "growth", "ledger", "members", "plans", "reservations")
 
 
 def main() -> None:
--- a/brackenpulley/extras.py
+++ b/brackenpulley/extras.py
@@ -77,7 +77,7 @@
 def seconds(d: Daemon) -> None:
     if d.config.operator.seconds:
         from .growth.tally import Tally
-        Tally(d.loop, d.metrics, d.ingress.gateway, d.log)
+        d.tally = Tally(d.loop, d.metrics, d.ingress.gateway, d.log)
 
 
 def health(d: Daemon) -> None:
--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -19,7 +20,7 @@
 STATES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "gone"}
 SILENT = 4.5  # s; an empty line comes every 2 s, so a second one is missing
 UNLISTED = 1.0  # s for a connection to come up, and for the whole list to come
-AGAIN = 0.1  # s before a watch that broke at once is asked for again
+AGAIN, AGAIN_MOST = 0.1, 2.0  # s before a watch that broke is asked for again: at first, and doubled up to
 LINE = 1 << 22  # bytes of one line at most
 
 
@@ -81,9 +82,11 @@
 class Discovery:
     """The source that the platform has. Owns its one connection, closed in `_close` alone."""
 
-    def __init__(self, loop: Loop, pool: Pool, inventory: Inventory, at: Address, metrics: Metrics, log: Any) -> None:
+    def __init__(self, loop: Loop, pool: Pool, inventory: Inventory, at: Address, metrics: Metrics, log: Any,
+                 rng: random.Random) -> None:
         self.loop, self.pool, self.inventory, self.at = loop, pool, inventory, at
-        self.metrics, self.log = metrics, log
+        self.metrics, self.log, self.rng = metrics, log, rng
+        self._wait = AGAIN
         self.heard = False  # discovery has answered since the start
         self._sock: socket.socket | None = None
         self._parser: Any = None
@@ -96,16 +99,20 @@
         self._stopped = False
 
     def start(self) -> None:
-        """The whole list, and from then on a watch; again at once when one breaks."""
+        """A watch from the version that is held, or the whole list first; again when one breaks.
+
+        A list from the configuration is enough to watch from: what changed since is told first, or else the whole."""
         if self._sock is not None or self._stopped:
             return
+        if not self.heard and self.inventory.version > 0:
+            self._listed = True
         self._began = self._last = self.loop.clock()
         self._line, self._up = b"", False
         self._parser = httptools.HttpResponseParser(self)
         try:
             self._sock = sock = sockets.connect(self.at)
         except OSError:
-            self.loop.call_in(AGAIN, self.start)
+            self._later()
             return
         self.loop.register(sock, WRITE, self._event, urgent=True)
         self._watch_silence()
@@ -165,7 +172,8 @@
 
     def on_message_complete(self) -> None:
         """The list is whole, or the watch has ended."""
-        good = self._parser.get_status_code() == 200
+        status = self._parser.get_status_code()
+        good = status == 200
         line, self._line = self._line, b""
         if good and line.strip():
             self._told(line)
@@ -173,8 +181,8 @@
             self._listed = True
             self.loop.call_soon(self._again)
         else:
-            self._listed = False
-            self.loop.call_soon(lambda: self._broken("ended"))
+            self._listed = self._listed and (good or status >= 429)  # turned away: what is held is still good
+            self.loop.call_soon(lambda: self._broken(f"ended with {status}"))
 
     def _told(self, line: bytes) -> None:
         if not line.strip() or self._parser.get_status_code() != 200:
@@ -185,7 +193,7 @@
             self.log.error("discovery", error=str(error))
             self._listed = False
             raise
-        self.heard = True
+        self.heard, self._wait = True, AGAIN
         self.metrics.add("lists")
 
     def _again(self) -> None:
@@ -198,10 +206,12 @@
         self.metrics.add("watch_breaks")
         self.log.info("watch broken", why=why)
         self._close()
-        if self.loop.clock() - self._began >= AGAIN:
-            self.start()
-        else:
-            self.loop.call_in(AGAIN, self.start)
+        self._later()
+
+    def _later(self) -> None:
+        """With full jitter: many ingresses that ask again in step keep a crowded discovery crowded."""
+        self.loop.call_in(self.rng.uniform(0.0, self._wait), self.start)
+        self._wait = min(AGAIN_MOST, 2 * self._wait)
 
     def _close(self) -> None:
         if self._sock is not None:
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -26,6 +26,7 @@
 SAVED = 2.0         # largest requests of its even share that a gateway saves up
 GAIN, FADE = 0.2, 5.0  # weight of a new latency or error in a server's record; s in which slowness fades
 ASIDE_ERR, ASIDE_SIZE = 0.35, 0.5  # error share that sets a server aside; part of the fleet that may be
+DRAINS = 2          # messages turned away with none answered between: it drains, whatever the list says
 ASIDE_MIN, ASIDE_MAX = 1.0, 8.0  # s until a single trial, doubled each time it fails
 SILENT = 4.0        # usual latencies without any answer: silent; twice that summed over what is out there
 LOOK, LOOK_ASKED, LOOK_MOST = 10.0, 2.0, 24  # servers looked at beside its part of three; most in all
@@ -226,17 +227,17 @@
             self.customers[r.customer] = c
         elif not r.retry and (plan.name != c.left or now >= c.moved_at + self.longest):
             # A retry may still name the plan that its first try was on, and some are not marked as retries.
-            self.move(now, c, plan)
+            self.move(now, c, plan, c.plan.name)
         return c
 
     def share(self, plan: i.PlanSpec, spread: int, least: float) -> float:
         return min(plan.burst, max(plan.burst / spread, least))
 
-    def move(self, now: float, c: Customer, plan: i.PlanSpec) -> None:
+    def move(self, now: float, c: Customer, plan: i.PlanSpec, left: str = "") -> None:
         """Another plan, or other figures of the same: what is missing from the full store goes on missing."""
         self.fill(now, c)
         old, old_share, told = c.plan, c.share, now - c.read_at <= STALE
-        c.left, c.moved_at, c.plan = old.name, now, plan
+        c.left, c.moved_at, c.plan = left, now, plan  # nobody names a plan that the book has ended
         c.share = self.share(plan, c.spread, self.s.most_units * SAVED)
         if not old.rate:  # there was no store that anything could be missing from
             c.level = 0.0 if self.s.leased else plan.burst if told else c.share
@@ -254,13 +255,11 @@
         for c in self.customers.values():
             if (plan := self.plans[c.plan.name]) is not c.plan:
                 self.move(now, c, plan)
-                c.left = ""
 
     def moved(self, now: float, e: i.Moved) -> None:
         c, plan = self.customers.get(e.customer), self.plans.get(e.plan)
         if c and plan and plan is not c.plan:
             self.move(now, c, plan)
-            c.left = ""  # the book speaks: nobody names the old plan any more
 
     def reserve(self, now: float, r: i.Reserve) -> None:
         """Units for a costly request to come are held as if it were sent now."""
@@ -469,7 +468,8 @@
 
     def answered(self, now: float, q: Held, s: Server, latency: float) -> None:
         loop, s.answered, s.err = q.loop, now, s.err * (1 - GAIN)
-        loop.samples.append((now, latency))
+        loop.samples += [(now, loop.spec.deadline)] * s.turned + [(now, latency)]  # it is full, not draining
+        s.turned = 0
         loop.fresh, self.good = loop.fresh + 1, self.good + 1
         loop.mean += 0.05 * (latency - loop.mean)
         s.slow += GAIN * (min(10.0, latency / max(loop.mean, 1e-3)) - s.slow)
@@ -481,14 +481,14 @@
     def judge(self, now: float, q: Held, s: Server, o: i.Outcome) -> None:
         if o.status == "ok" and not q.bound:
             self.answered(now, q, s, o.latency)
-        if o.status in ("timeout", "full") and not s.aside:
+        if o.status == "timeout" and not s.aside:
             q.loop.samples.append((now, q.loop.spec.deadline))
         if o.status == "full":
-            s.slow = min(10.0, s.slow * 1.5)
+            s.slow, s.turned = min(10.0, s.slow * 1.5), s.turned + 1
         elif o.status in ("error", "timeout", "connect_failed", "reset"):
             s.err += GAIN * (1 - s.err)
-            if s.err > ASIDE_ERR:
-                self.set_aside(now, s)
+        if o.status != "ok" and s.err > ASIDE_ERR or s.turned >= DRAINS:
+            self.set_aside(now, s)
 
     def set_aside(self, now: float, s: Server) -> None:
         """Out of the choice but for single trials. If most look bad the cause is shared."""
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -84,6 +84,7 @@
     told_at: float = NEVER
     aside: bool = False
     counted: bool = False  # its attempts out are in Servers.held
+    turned: int = 0  # messages turned away since it last answered one
     trial_at: float = 0.0
     wait: float = 0.0  # until the next trial; 0 = not set aside of late
     tokens: float = 0.0  # cold budget
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -5,6 +5,7 @@
 import contextlib
 import gc
 import os
+import random
 import resource
 import signal
 import sys
@@ -85,6 +86,7 @@
         self.health: Any = None
         self.gateways: Any = None
         self.members: Any = None
+        self.tally: Any = None
         self._extras()
         self.ending = False
 
@@ -96,7 +98,7 @@
                 extra(self)
         if self.discovery is None and self.config.discovery is not None:
             self.discovery = Discovery(self.loop, self.pool, self.inventory, self.config.discovery, self.metrics,
-                                       self.log)
+                                       self.log, random.Random(self.config.seed))
 
     def ready(self) -> bool:
         told = self.discovery is None or self.discovery.heard or self.clock() - self.born > KNOWN_ENOUGH
--- a/brackenpulley/settings.py
+++ b/brackenpulley/settings.py
@@ -41,7 +41,8 @@
         cold_from=need(inv, "ColdFrom"), cold_time=need(inv, "Cold"), fall_multiple=need(inv, "OverloadFactor"),
         fall_time=need(inv, "TipAfter"), counter_timeout=ext.get("CountWait", 0.0),
         meter_period=ext.get("Metering", 0.0),
-        conn_idle=float(lim.get("ConnIdle") or 0.0), most_units=ext.get("MostUnits", 1), settles=ext.get("Settles", False),
+        conn_idle=float(lim.get("ConnIdle") or 0.0), most_units=ext.get("MostUnits", 1),
+        settles=ext.get("Settles", False),
         peer_per_s=ext.get("MailPerS", 0.0), report_via=VIA.get(rep.get("Via", "silent"), "none"),
         report_fields=[FIELD.get(f, f) for f in rep.get("Fields") or []])
 
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,87 @@
+"""What the deploy file starts: one process by exec, linked dynamically, that opens only what the platform has.
+
+Found by a trace of the program started alone (the interpreter's audit events), not by reading alone."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+from .test_link import SETTINGS
+
+ROOT = Path(__file__).parent.parent
+TRACE = """
+import json, os, sys
+out, seen = sys.argv[1], []
+REFUSED = {"os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system", "subprocess.Popen",
+           "pty.spawn", "_thread.start_new_thread", "ctypes.dlopen"}
+def hook(event, args):
+    if event == "socket.__new__":
+        seen.append([event, int(args[1])])
+    elif event in REFUSED:
+        seen.append([event, 0])
+sys.addaudithook(hook)
+sys.argv = ["brackenpulley", "serve", "--config", sys.argv[2]]
+from brackenpulley.cli import main
+try:
+    main()
+finally:
+    with open(out, "w") as file:
+        json.dump(seen, file)
+"""
+
+
+def test_run_is_one_program_by_exec_with_nothing_switched_on() -> None:
+    told = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    words = told["run"].split()
+    assert words[:4] == ["exec", ".venv/bin/python", "-m", "brackenpulley"] and words[4:] == ["serve"]
+    assert not set(told["run"]) & set(";&|$`()<>")
+    assert not any(name.startswith(("brackenpulley/fleet", "brackenpulley/authz", "brackenpulley/growth"))
+                   for name in told["node"])
+
+
+def test_the_interpreter_is_linked_dynamically() -> None:
+    """A library loaded into the process at its start needs a loader: an ELF file with an interpreter of its own."""
+    head = Path(os.path.realpath(sys.executable)).read_bytes()[:1 << 16]
+    assert head[:4] == b"\x7fELF" and b"ld-linux" in head
+
+
+def test_the_program_started_alone_forks_nothing_and_opens_ipv4_alone(tmp_path: Path) -> None:
+    config, out = tmp_path / "config.json", tmp_path / "seen.json"
+    with socket.create_server(("127.0.0.1", 0)) as discovery, socket.create_server(("127.0.0.1", 0)) as server:
+        known = {"generation": 1, "reset": True, "instances": [
+            {"instanceId": "s-1", "hostPort": f"127.0.0.1:{server.getsockname()[1]}", "lifecycle": "SERVING"}]}
+        config.write_text(json.dumps({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.getsockname()[1]}",
+            "counter": "127.0.0.1:1", "known": known, "settings": SETTINGS}))
+        child = subprocess.Popen([sys.executable, "-c", TRACE, str(out), str(config)], stdout=subprocess.PIPE,
+                                 text=True, cwd=ROOT,
+                                 env={k: v for k, v in os.environ.items() if k != "BALANCER_OPERATOR"})
+        assert child.stdout is not None
+        port = int(next(x for x in child.stdout if "event=listening" in x).strip().rsplit(":", 1)[1])
+        discovery.settimeout(30)
+        server.settimeout(30)
+        asked = discovery.accept()[0]
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(b"GET /a/0000000000000001 HTTP/1.1\r\nX-Request-ID: 1\r\nX-Priority-Class: a\r\n"
+                           b"X-Tariff: p\r\nX-Timeout: 20000m\r\n\r\n")
+            relay = server.accept()[0]
+            assert relay.recv(4096).startswith(b"GET /a/")
+            relay.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            client.settimeout(30)
+            assert client.recv(4096).startswith(b"HTTP/1.1 200")
+            threads = len(os.listdir(f"/proc/{child.pid}/task"))
+        child.send_signal(signal.SIGTERM)
+        child.stdout.read()
+        assert child.wait(30) == 0
+        asked.close()
+        relay.close()
+    seen = json.loads(out.read_text())
+    assert {family for event, family in seen if event == "socket.__new__"} == {int(socket.AF_INET)}
+    assert [event for event, _ in seen if event != "socket.__new__"] == [] and threads == 1
--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,107 @@
+"""Counting over a fleet: the line a second that an ingress writes, and the command that merges many logs."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brackenpulley.growth.merge import BadRecord, Merged, record
+from brackenpulley.serve import make_log
+
+from .rig import rig
+
+
+def line(at: int, relays: int, server: str = "s-1", prefix: str = "") -> str:
+    tally = {"counts": {"relays": relays, "messages": relays + 1}, "servers": {server: {"relays": relays}},
+             "now": {"aside": 1, "out": 2}}
+    return f"{prefix}timestamp=x level=info event=second at={at} tally={json.dumps(json.dumps(tally))}\n"
+
+
+def test_logs_of_many_are_added_second_by_second() -> None:
+    merged = Merged()
+    merged.add("n0", [line(100, 3), line(101, 1), "listening\n"])
+    merged.add("n1", [line(101, 4, "s-2", "7.001 "), line(102, 2)])
+    rows = merged.table()
+    assert [(r["second"], r["relays"], r["ingresses"], r["aside"], r["servers"], r["most"]) for r in rows] == [
+        (0, 3, 1, 1, 1, 3), (1, 5, 2, 2, 2, 4), (2, 2, 1, 1, 1, 2)]
+    assert [(r["server"], r["relays"]) for r in merged.by("server")] == [("s-1", 6), ("s-2", 4)]
+    assert {r["ingress"]: r["messages"] for r in merged.by("ingress")} == {"n0": 6, "n1": 8}
+    assert merged.logs["n0"].other == 1 and merged.whole()["counters"] == {"relays": 10, "messages": 14}
+
+
+@pytest.mark.parametrize("cut", range(30, len(line(100, 3)) - 3))
+def test_a_line_cut_off_anywhere_is_counted_and_named(cut: int) -> None:
+    """A process that is killed leaves half a line; the next one's output may follow on the same line."""
+    merged = Merged()
+    log = merged.add("n0", [line(99, 1), line(100, 3)[:cut]])
+    assert log.records == 1 and log.bad + log.other == 1
+    assert log.bad == 0 or line(100, 3).startswith(log.first_bad)
+
+
+@pytest.mark.parametrize("tally", ["", "3", "[]", '{"counts":{}}', '{"counts":{"a":"b"},"servers":{},"now":{}}',
+                                   '{"counts":[],"servers":{},"now":{"aside":0,"out":0}}', "[" * 100_000])
+def test_what_is_no_record_is_refused_as_one(tally: str) -> None:
+    with pytest.raises(BadRecord):
+        record(f"event=second at=5 tally={tally}")
+
+
+def test_an_ingress_writes_a_record_a_second_by_server() -> None:
+    lines: list[str] = []
+
+    class Output:
+        def write(self, text: str) -> None:
+            lines.append(text)
+
+        def flush(self) -> None:
+            pass
+    with rig(operator={"log": {"seconds": True}}) as r:
+        log = make_log(Output())
+        r.daemon.tally.log = log
+        client = r.ask()
+        name, wire = r.served()
+        wire.answer()
+        wire.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assert client.answer()[0] == 200
+        r.skip(1.0)
+        r.skip(1.0)
+    merged = Merged()
+    assert merged.add("n0", "".join(lines).splitlines()).records == 2
+    row = merged.by("server")[0]
+    assert (row["server"], row["relays"], row["connects"]) == (name, 1, 1)
+    assert merged.whole()["counters"]["served"] == 1
+
+
+def test_without_the_operators_word_nothing_is_counted_by_server() -> None:
+    with rig() as r:
+        assert r.daemon.metrics.servers is None
+
+
+def test_the_command(tmp_path: Path) -> None:
+    (tmp_path / "n0.log").write_text(line(100, 3) + line(101, 2)[:-20])
+    (tmp_path / "n1.log").write_text(line(100, 1))
+
+    def run(*words: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run([sys.executable, "-m", "brackenpulley", "growth", *words], capture_output=True, text=True,
+                              env={**os.environ, "NO_COLOR": "1"}, timeout=60)
+    good = run("count", str(tmp_path), "--json")
+    told: dict[str, Any] = json.loads(good.stdout)
+    assert good.returncode == 0 and told["seconds"][0]["relays"] == 4 and "n0: 1 lines are no records" in good.stderr
+    assert run("count", str(tmp_path), "--by", "server").stdout.startswith("server\tmessages\trelays")
+    for words, text in ((["count", str(tmp_path / "none.log")], "none.log: No such file"),
+                        (["count", str(tmp_path), "--by", "x"], "--by: 'x' is none of")):
+        bad = run(*words)
+        assert bad.returncode == 2 and text in bad.stderr and len(bad.stderr.strip().splitlines()) <= 2
+
+
+def test_the_operators_word_is_checked() -> None:
+    from brackenpulley.address import ConfigError
+    from brackenpulley.operator import decode
+    with pytest.raises(ConfigError, match=r"^log.seconds: 'yes' is neither true nor false$"):
+        decode({"log": {"seconds": "yes"}})
+    assert not decode({}).seconds
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import gc
+import itertools
 import json
 import os
 import signal
@@ -475,6 +477,45 @@
         assert b"from=8 " in source.accept().until(b"\r\n\r\n")
 
 
+def test_an_ingress_that_starts_with_a_list_watches_from_it_at_once() -> None:
+    """Asking for the whole list first, all that are started again ask twice of a discovery that is crowded then."""
+    with rig() as outside:
+        place = Peer(outside)
+        with rig(discovery=place.at) as r:
+            place.rig = r
+            wire = place.accept()
+            wire.rig = r
+            assert wire.until(b"\r\n").startswith(b"GET /v1/endpoints?watch=1&from=7 ")
+            wire.send(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            again = place.accept()
+            assert again.until(b"\r\n").startswith(b"GET /v1/endpoints?watch=1&from=7 ")
+            again.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(
+                {"generation": 9, "reset": True, "instances": []}))
+            r.until(lambda: r.daemon.discovery.heard)
+            assert r.daemon.inventory.version == 9 and len(r.daemon.inventory) == 0
+
+
+def test_a_discovery_that_breaks_off_is_asked_less_and_less_often_and_never_in_step() -> None:
+    """Each of many ingresses asked a crowded discovery ten times a second, all through the time that it was crowded."""
+    found: list[list[float]] = []
+    for seed in ("1", "2"):
+        with socket.create_server(("127.0.0.1", 0)) as place:
+            place.setblocking(False)
+            with rig(discovery=f"127.0.0.1:{place.getsockname()[1]}", seed=seed) as r:
+                r.freeze()
+                times: list[float] = []
+                for step in range(600):  # 12 s
+                    r.step(0.02)
+                    with contextlib.suppress(BlockingIOError):
+                        place.accept()[0].close()
+                        times.append(step * 0.02)
+        found.append(times)
+    assert all(6 <= len(times) <= 30 for times in found)  # 109 at ten a second
+    assert all(b - a <= 2.2 for times in found for a, b in itertools.pairwise(times))
+    assert found[0] != found[1]
+
+
+
 # Guards against taking a spoilt answer for "nothing was added" and telling the amount a second time; and against losing
 # the good answers in front of it.
 @pytest.mark.parametrize(("data", "found", "good"), [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -289,6 +289,34 @@
     assert fells / 16 < to_cold < fells / 2  # 52; 7 where they were weighed by warmth
 
 
+def test_a_server_that_only_turns_away_is_left_and_says_nothing_of_load() -> None:
+    """Restarted with an old list and no newer one, each of many met servers that drain, and took it for overload."""
+    d = Drive(40, gateways=40, counter=False)
+    draining = {f"s{n}" for n in range(12)}
+    turned = 0
+    for _ in range(300):
+        d.now += 0.05
+        acts = d.ask(customer=d.serial)
+        while sends := of(Send, acts):
+            away = sends[0].server in draining
+            turned += away
+            attempt = sum(s.id == sends[0].id for s in of(Send, d.log)) - 1
+            acts = d.do(Outcome(sends[0].id, sends[0].server, attempt, "full" if away else "ok", 0.1, closed=not away))
+        d.do(Timer(d.g.token))
+    assert not of(Refuse, d.log)
+    assert 12 <= turned < 60  # trials included; 90 and a rate at its floor without
+    # One that answers again was full for a while: that speaks of load, and it is not left for it.
+    samples = d.g.loops["check"].samples
+    worst = max(latency for _, latency in samples)
+    for status in ("full", "ok"):
+        send = of(Send, d.ask(customer=0))[0]
+        d.g.servers.ended(d.g.servers[send.server], (send.id, 0))
+        d.g.reqs[send.id].server = d.g.servers["s20"]
+        d.do(Outcome(send.id, "s20", 0, status, 0.1, closed=True))
+        assert not d.g.servers["s20"].aside
+        assert max(latency for _, latency in samples) == (worst if status == "full" else 5.0)
+
+
 def test_a_gateway_of_many_keeps_to_servers_that_it_has_a_connection_to() -> None:
     """Each of 40 gateways met each of 60 servers now and then: 2,400 handshakes, each of which costs a server work."""
     d = Drive(60, gateways=40, conn_idle=30.0, counter=False)
