--- a/benchmarks/vast.py
+++ b/benchmarks/vast.py
@@ -130,8 +130,6 @@
             self.at(self.start + 6, self.join)
         if trouble == "zone":
             self.at(self.start + 6, self.lose)
-        if trouble == "herd":
-            self.at(self.start + 6, self.herd)
 
     def entry(self, s: Server) -> i.ServerEntry:
         return i.ServerEntry(s.name, zone=s.zone, cell=int(s.name[1:]) // 4, state=s.state, started=s.started)
@@ -141,7 +139,7 @@
         heapq.heappush(self.heap, (when, self.serial, call))
 
     def run(self) -> None:
-        while self.heap and self.now < self.start + self.seconds + 8:
+        while self.heap and self.now < self.start + self.seconds + 10:
             self.now, _, call = heapq.heappop(self.heap)
             call()
 
@@ -223,7 +221,6 @@
         if ask.tries >= 0 and self.rng.random() < 0.6:
             wait = a.after if a.after and self.rng.random() < 0.8 else self.rng.uniform(0.1, 0.8)
             if self.now + wait < ask.until - 0.5:
-                ask.born = ask.born
                 self.at(self.now + wait, lambda: self.again(ask))
 
     def again(self, ask: Ask) -> None:
@@ -252,8 +249,8 @@
         s.conns.add(n)
         self.count["connects"] += new
         self.out[n, a.id] = (s, attempt, self.now)
-        if a.timeout:
-            self.at(self.now + a.timeout, lambda: self.end(n, a.id, attempt, "timeout"))
+        until = min(ask.until, self.now + a.timeout) if a.timeout else ask.until
+        self.at(until, lambda: self.end(n, a.id, attempt, "timeout"))
         if s.dead:
             return
         self.at(self.now + WAY * (1 + 2 * new), lambda: self.reach(n, a.id, attempt, s, ask))
@@ -361,9 +358,6 @@
         self.at(self.now + 4, told)
         self.at(self.now + 10, back)
 
-    def herd(self) -> None:
-        pass
-
     def report(self) -> dict[str, Any]:
         w, c = self.worth, self.count
         plans = {n: round(w["served " + n] / w["asked " + n], 3) for n, *_ in PLANS}
