--- a/benchmarks/vast.py
+++ b/benchmarks/vast.py
@@ -57,7 +57,6 @@
     started: float = 0.0
     state: str = "up"
     dead: bool = False
-    bad: float = 1.0  # times the work
     work: int = 0
     queue: list[Any] = field(default_factory=list)
     conns: set[int] = field(default_factory=set)
@@ -77,11 +76,9 @@
     until: float
     born: float
     gateway: int
-    wanted: bool  # inside the quota for one that sees all
     tries: int = 0
     inside: bool = False
     sent: bool = False
-    over: bool = False
 
 
 class World:
@@ -174,8 +171,7 @@
         self.worth["asked " + firm.plan.name] += worth * wanted
         self.count["asked"] += 1
         true = max(0.2, units * self.rng.lognormvariate(-0.1, 0.45))
-        ask = Ask(firm, cls, units, true, UNIT * true, self.now + spec.deadline * self.rng.uniform(0.5, 1), self.now, 0,
-                  wanted)
+        ask = Ask(firm, cls, units, true, UNIT * true, self.now + spec.deadline * self.rng.uniform(0.5, 1), self.now, 0)
         self.offer(ask)
 
     def offer(self, ask: Ask) -> None:
@@ -183,7 +179,7 @@
         ask.gateway = (ask.firm.first + place) % len(self.gateways)
         self.serial += 1
         rid = f"{self.serial:x}"
-        ask.sent = ask.over = False
+        ask.sent = False
         ask.tries = 0
         self.held[ask.gateway][rid] = ask
         self.count["tries"] += 1
@@ -270,7 +266,7 @@
             if self.out.get((n, rid), (None, -1))[:2] != (s, attempt):
                 continue
             s.work += 1
-            self.at(self.now + ask.work * s.bad / s.power(self.now), lambda x=(n, rid, attempt): self.worked(s, x))
+            self.at(self.now + ask.work / s.power(self.now), lambda x=(n, rid, attempt): self.worked(s, x))
 
     def worked(self, s: Server, x: tuple[int, str, int]) -> None:
         s.work -= 1
--- a/brackenpulley/commands/growth.py
+++ b/brackenpulley/commands/growth.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from ..growth.merge import COLUMNS, Merged
+from ..growth.merge import Merged
 from .common import AsJson, fail, show
 
 app = typer.Typer(no_args_is_help=True, help="Counting over a whole fleet.")
@@ -48,5 +48,5 @@
     if not any(log.records for log in merged.logs.values()):
         raise fail("no record in these logs: was [log] seconds set? See deploy/growth.toml", 1)
     rows = merged.table() if by == "second" else merged.by(by)
-    columns = list(merged.table()[0]) if by == "second" else [by, *(key for key, _ in COLUMNS)]
-    show(merged.whole(), as_json, columns, ([row.get(name, 0) for name in columns] for row in rows), f"by {by}")
+    show(merged.whole() if as_json else rows, as_json, list(rows[0]) if rows else [by], (row.values() for row in rows),
+         f"by {by}")
--- a/brackenpulley/growth/merge.py
+++ b/brackenpulley/growth/merge.py
@@ -47,8 +47,7 @@
     try:
         if not found:
             raise BadRecord("no second")
-        text = rest.strip()
-        tally, end = json.JSONDecoder().raw_decode(text)
+        tally, _ = json.JSONDecoder().raw_decode(rest.strip())
         if isinstance(tally, str):  # the log's writer quotes what has quotes in it
             tally = json.loads(tally)
         counts, servers, now = tally["counts"], tally["servers"], tally["now"]
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -293,7 +293,7 @@
 class Refuse:
     id: str
     after: float = 0.0  # advice; 0 = none
-    why: str = ""  # quota, rate, haste, room, servers; "" = not told
+    why: str = ""  # quota, rate, haste, room, servers, unknown; "" = not told
 
 
 @dataclass(slots=True)
