Clients' address bound with SO_REUSEPORT, so a new version starts beside the old

Design: the clients' listener alone is shared (SO_REUSEPORT); the kernel spreads new connections over both processes until the old one closes its door. Not taken: handing the listening socket over a Unix socket (SCM_RIGHTS), since the platform refuses Unix sockets; and binding only after the old one closed, which turns clients back meanwhile. Other listeners stay exclusive, so two daemons told the same console never share it.

--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -57,7 +57,7 @@
         self.draining = False
 
     def listen(self, at: Address) -> Address:
-        self.listener = sock = sockets.listen(at, 1024)
+        self.listener = sock = sockets.listen(at, 1024, shared=True)
         self._accept_on()
         self.loop.call_in(SWEEP, self._sweep)
         bound = sock.getsockname()
--- a/brackenpulley/net/sockets.py
+++ b/brackenpulley/net/sockets.py
@@ -15,9 +15,12 @@
     return sock
 
 
-def listen(at: Address, backlog: int) -> socket.socket:
+def listen(at: Address, backlog: int, shared: bool = False) -> socket.socket:
+    """`shared`: a new version of the program binds the same address while this one still serves (hot restart)."""
     sock = _new(at)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.bind(at)
     sock.listen(backlog)
     return sock
