Operators' console: ready, counters, out of service and back; drain as a policy

Design: net/console owns its own listener and callers, one call a connection, read in the loop's urgent set and answered in the turn its head is whole; 4 KiB of head at most, every caller closed 1 s after connecting, 32 at once (the oldest makes room), so a slow caller is dropped, never waited for. Counters: one tally by class taken where the final answer leaves (Ingress.take's reply) and where an attempt's last byte is written (south); prometheus-client writes the text format. Not taken: serving the console on the clients' listener by path (a front would reach it, and a crowd of clients would delay it); and a thread for the console (one loop, no threads).

Tests: console against 40 stalled callers (404, 405 with Allow, 400 for bad and long heads), counters against what crossed the sockets, drain with a request in flight.

--- a/brackenpulley/config.py
+++ b/brackenpulley/config.py
@@ -29,6 +29,7 @@
     transport: Transport
     operator: Operator
     path: str = ""  # the file it was read from
+    console: Address | None = None  # the operators' console
 
 
 def _object(value: Any, name: str) -> JSON:
@@ -75,7 +76,9 @@
         discovery=None if operator.xds else address(told("BALANCER_DISCOVERY", "discovery"), "discovery"),
         counter=address(raw["counter"], "counter") if raw.get("counter") else None,
         seed=seed, sockets=sockets, memory_mb=memory_mb, known=_object(raw.get("known", {}), "known"), settings=rules,
-        transport=conns, operator=operator)
+        transport=conns, operator=operator,
+        console=address(env.get("BALANCER_CONSOLE") or raw["console"], "console") if (
+            env.get("BALANCER_CONSOLE") or raw.get("console")) else None)
 
 
 def _read(path: str, env: Mapping[str, str], operator: Operator | None) -> Config:
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from ..metrics import Metrics
+from ..metrics import OUTCOMES, Metrics
 from ..policy import interface as i
 from ..policy.brain import Gateway
 from .exchange import Answer, Asking, Authoriser, Exchange, RelayEnd, South, Verdict
@@ -110,13 +110,19 @@
         if message.id in self.held:
             return None
         self.metrics.add("messages")
-        if (ledger := self.ledger) is not None:
-            at_once = reply
+        metrics, cls = self.metrics, message.cls
+
+        def counted(answer: Answer) -> None:  # the final answer, counted once, here
+            metrics.of(OUTCOMES[answer.kind], cls)
+            reply(answer)
 
-            def reply(answer: Answer) -> None:
-                ledger.answer(at_once, answer)
+        final = counted
+        if (ledger := self.ledger) is not None:
+            def stored(answer: Answer) -> None:
+                ledger.answer(counted, answer)
+            final = stored
 
-        exchange = Exchange(message, self.clock() + message.left, reply, south)
+        exchange = Exchange(message, self.clock() + message.left, final, south)
         self.held[message.id] = exchange
         if ledger is not None and ledger.refuses:
             self.metrics.add("refused_unstored")
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -11,6 +11,7 @@
 from ..core.ingress import Ingress
 from ..core.message import MessageError
 from ..metrics import Metrics
+from ..policy.drain import Drain
 from . import sockets
 from .loop import READ, WRITE, Loop
 from .pool import Pool
@@ -47,14 +48,18 @@
 
 class North:
     def __init__(self, loop: Loop, pool: Pool, ingress: Ingress, south: South, metrics: Metrics, log: Any,
-                 most: int, ready: Callable[[], bool]) -> None:
+                 most: int, ready: Callable[[], bool], drain: Drain) -> None:
         self.loop, self.pool, self.ingress, self.south = loop, pool, ingress, south
         self.metrics, self.log, self.most, self.ready = metrics, log, most, ready
         self.clients: dict[Client, None] = {}  # the longest unused first
         self.strangers: dict[Client, None] = {}  # of these, those that have not sent a whole message yet; oldest first
         self.listener: socket.socket | None = None
         self.accepting = False
-        self.draining = False
+        self.drain = drain
+
+    @property
+    def draining(self) -> bool:
+        return self.drain.draining
 
     def listen(self, at: Address) -> Address:
         self.listener = sock = sockets.listen(at, 1024, shared=True)
@@ -193,7 +198,7 @@
         del self.clients[client]  # used last: now at the end
         self.clients[client] = None
         if payload.method == b"GET" and payload.target == b"/ready":
-            self._reply(client, 200 if self.ready() and not self.draining else 503)
+            self._reply(client, 200 if self.drain.ready(self.ready()) else 503)
             return
         serial = client.serial
         try:
@@ -290,8 +295,8 @@
                 client.busy = True
                 client.keep = client.reading = False
                 self._reply(client, 408)
-            elif not client.busy and not client.reader.partial and still > (IDLE if client.serial else PARTIAL) and (
-                    not self._spoke(client)):
+            elif not client.busy and not client.reader.partial and not self._spoke(client) and (
+                    self.draining or still > (IDLE if client.serial else PARTIAL)):
                 self.close(client)
         if self.listener is not None or self.clients:
             self.loop.call_in(SWEEP, self._sweep)
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -202,7 +202,9 @@
             self._broken(conn)
             return
         attempt.out = attempt.out[sent:]
-        attempt.written = not attempt.out
+        if not attempt.out and not attempt.written:
+            attempt.written = True
+            self.metrics.of("tries", attempt.message.cls)
         self.loop.want(conn.sock, READ if attempt.written else READ | WRITE, lambda events: self._event(conn, events))
 
     def _readable(self, conn: Conn) -> None:
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -19,7 +19,8 @@
 from .address import Address, ConfigError
 from .config import Config, reload
 from .core.ingress import Ingress
-from .metrics import Metrics
+from .metrics import Metrics, exposition
+from .net.console import Console
 from .net.counter import CounterClient
 from .net.inventory import Discovery, Inventory
 from .net.loop import Loop
@@ -28,11 +29,13 @@
 from .net.south import Southside
 from .operator import Operator
 from .policy.brain import Gateway
+from .policy.drain import Drain
 
 LINGER = 0.5  # s after SIGTERM in which new connections are still taken
 SPARE, SPARE_PART = 64, 8  # descriptors for everything but clients and sim servers: at most, and 1 / part of all
 CLIENT_KB, MEMORY_PART = 80, 4  # a client with a whole message in hand; 1 / part of the memory is for them
 GIVE_BACK = 0.05  # s at the end for leased units to reach the counter
+TEXT, PROMETHEUS = "text/plain; charset=utf-8", "text/plain; version=0.0.4; charset=utf-8"
 KNOWN_ENOUGH = 1.5  # s after which the list from the configuration must do
 
 
@@ -74,7 +77,10 @@
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
                                config.transport.idle, config.transport.connect, config.transport.fields,
                                (config.memory_mb << 20) // MEMORY_PART)
-        self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready)
+        self.drain = Drain()
+        self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready,
+                           self.drain)
+        self.console: Console | None = None
         self.discovery: Any = None
         self.front: Any = None
         self.authoriser: Any = None
@@ -128,6 +134,10 @@
                 self.log.info("control", address=self.control.listen(where))
             except OSError as error:
                 raise ConfigError(f"control.listen: {where}: {error.strerror}") from None
+        if self.config.console is not None:
+            self.console = Console(self.loop, self._calls(), self.log)
+            where = self._listen("console", self.console, self.config.console)
+            self.log.info("console", address=f"{where[0]}:{where[1]}")
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
         for part in (self.gateways, self.members, self.health):  # from here on others may know of it
             if part is not None:
@@ -140,6 +150,35 @@
             raise ConfigError(f"{name}: {at[0]}:{at[1]}: {error.strerror}") from None
         return bound
 
+    def _calls(self) -> dict[bytes, dict[bytes, Any]]:
+        """The operators' calls: each reads what is held and answers in the same turn."""
+        def ready() -> tuple[int, bytes, str]:
+            yes = self.drain.ready(self.ready())
+            return (200, b"ready\n", TEXT) if yes else (503, b"not ready\n", TEXT)
+
+        def counters() -> tuple[int, bytes, str]:
+            return 200, exposition(self.metrics, self.gauges()), PROMETHEUS
+
+        def out() -> tuple[int, bytes, str]:
+            self.drain.out_of_service(self.clock())
+            self.north.close_unused()
+            self.log.info("out of service")
+            return 200, b"out of service\n", TEXT
+
+        def back() -> tuple[int, bytes, str]:
+            self.drain.in_service()
+            self.log.info("in service")
+            return 200, b"in service\n", TEXT
+
+        return {b"/control/ready": {b"GET": ready}, b"/control/counters": {b"GET": counters},
+                b"/control/out-of-service": {b"PUT": out}, b"/control/in-service": {b"PUT": back}}
+
+    def gauges(self) -> dict[str, int]:
+        apart = self.ingress.gateway.servers.apart
+        return {"active": sum(not exchange.over for exchange in self.ingress.held.values()),
+                "pool_size": len(self.inventory),
+                "pool_ejected": sum(self.inventory.address(name) is not None for name in apart)}
+
     def report(self) -> None:
         self.log.info("counters", **self.metrics.table())
 
@@ -165,7 +204,8 @@
     def end(self) -> None:
         """Take what still arrives for a while, finish all that is held, then stop."""
         if not self.ending:
-            self.ending = self.north.draining = True
+            self.ending = True
+            self.drain.end()
             self.log.info("ending")
             if self.health is not None:
                 self.health.ending()
@@ -201,6 +241,8 @@
     def close(self) -> None:
         """Give everything back: each part closes what it owns, the loop last."""
         self.north.stop()
+        if self.console is not None:
+            self.console.stop()
         if self.front is not None:
             self.front.stop()
         if self.authoriser is not None:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from .rig import Rig, rig
+import socket
+import time
+
+from .rig import Rig, Wire, rig
 
 
 def test_a_new_version_binds_the_clients_address_while_the_old_one_serves() -> None:
@@ -17,3 +20,69 @@
             wire.close()
         finally:
             new.close()
+
+
+def call(one: Rig, method: str, path: str, head: bytes = b"") -> tuple[int, bytes, bytes]:
+    """One call to the console, read to the end of its connection."""
+    assert one.daemon.console is not None and one.daemon.console.listener is not None
+    wire = Wire(one, socket.create_connection(one.daemon.console.listener.getsockname()))
+    wire.send(head or f"{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n".encode())
+    wire.ended()
+    status, head_seen, body = wire.answer()
+    return status, head_seen, body
+
+
+def test_the_console_answers_each_call_at_once_while_others_hold_half_a_call() -> None:
+    with rig(console="127.0.0.1:0") as one:
+        assert one.daemon.console is not None and one.daemon.console.listener is not None
+        at = one.daemon.console.listener.getsockname()
+        stalled = [socket.create_connection(at) for _ in range(40)]
+        for sock in stalled:
+            sock.sendall(b"GET /control/ready HTTP/1.1\r\nHo")
+        began = time.monotonic()
+        assert call(one, "GET", "/control/ready")[0] == 200
+        assert call(one, "GET", "/nothing")[0] == 404
+        status, head, _ = call(one, "POST", "/control/ready")
+        assert status == 405 and b"allow: get" in head.lower()
+        assert call(one, "GET", "", b"GARBAGE\r\n\r\n")[0] == 400
+        assert call(one, "GET", "", b"GET /" + b"x" * 5000 + b" HTTP/1.1\r\n\r\n")[0] == 400
+        assert time.monotonic() - began < 1.0
+        one.skip(1.5)  # past their deadline the slow callers are closed, not waited for
+        assert not one.daemon.console.callers
+        for sock in stalled:
+            sock.close()
+
+
+def test_counters_tell_what_crossed_the_sockets() -> None:
+    with rig(console="127.0.0.1:0") as one:
+        for number in (1, 2, 3):
+            wire = one.ask(number)
+            _, server = one.served()
+            server.until(b"\r\n\r\n")
+            server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            assert wire.answer()[0] == 200
+            wire.close()
+            server.close()
+        status, head, body = call(one, "GET", "/control/counters")
+        assert status == 200 and b"text/plain" in head
+        seen = {line.split(b" ")[0]: float(line.split(b" ")[1]) for line in body.splitlines()
+                if line and not line.startswith(b"#")}
+        assert seen[b'app_ok{kind="a"}'] == 3 and seen[b'app_tries{kind="a"}'] == 3
+        assert seen[b"app_active"] == 0 and seen[b"app_pool_size"] == 1 and seen[b"app_pool_ejected"] == 0
+
+
+def test_out_of_service_says_no_closes_idle_connections_and_finishes_what_is_held() -> None:
+    with rig(console="127.0.0.1:0") as one:
+        idle, busy = one.client(), one.ask(1)
+        _, server = one.served()
+        server.until(b"\r\n\r\n")
+        assert call(one, "PUT", "/control/out-of-service")[0] == 200
+        assert call(one, "GET", "/control/ready")[0] == 503
+        probe = one.client().send(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert probe.answer()[0] == 503
+        assert idle.ended()
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        status, head, _ = busy.answer()
+        assert status == 200 and b"connection: close" in head.lower() and busy.ended()
+        assert call(one, "PUT", "/control/in-service")[0] == 200
+        assert call(one, "GET", "/control/ready")[0] == 200
