Refuse at once what comes before a restarted process could first serve

Lines at fault: Ingress.take trusts X-Timeout as counted from now for whatever arrives.

Design: policy/drain.Drain.tries: until the process has first been able to serve (list in hand and discovery heard, or 1.5 s), nobody was told to send to it, so what comes is of an age it cannot know and is refused at once with 429 (Retry-After 0.5 s where the settings allow). North asks it; Ingress.take refuses through the one place of answers, so shed counts it. Not taken: a shorter time for such messages (they would still be tried and answered up to that time late), and waiting for the first probe's yes (a front that never noticed the death would never probe, and all would be refused for ever).

Test: a message before the list is in is refused at once without a relay, one after it served (fails without the change); test_deploy now waits for the yes before its message.

--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -13,6 +13,7 @@
 from .message import Message, check
 
 UNSTORED = 1.0  # s to stay away while use cannot be stored
+UNOPENED = 0.5  # s to stay away from a process that cannot serve yet
 
 
 class Timers(Protocol):
@@ -102,8 +103,11 @@
             i.Fetch: lambda a: self.watch(), i.Log: lambda a: self.log.info("module", text=a.text),
             i.Charge: self._charge, i.Reserved: self._reserved}
 
-    def take(self, message: Message, reply: Callable[[Answer], None], south: South) -> Exchange | None:
-        """A message was taken in; None (and nothing owed) if its id is in hand already. Raises MessageError."""
+    def take(self, message: Message, reply: Callable[[Answer], None], south: South,
+             opened: bool = True) -> Exchange | None:
+        """A message was taken in; None (and nothing owed) if its id is in hand already. Raises MessageError.
+
+        `opened`: whether it is tried; else it is refused at once (see policy/drain)."""
         if self.plans is not None:
             message.plan, message.revision = self.plans.plan_of(message.customer, message.told)
         check(message, self.gateway.s, self.gateway.plans)
@@ -124,7 +128,10 @@
 
         exchange = Exchange(message, self.clock() + message.left, final, south)
         self.held[message.id] = exchange
-        if ledger is not None and ledger.refuses:
+        if not opened:
+            self.metrics.add("refused_unopened")
+            self._finish(exchange, Answer("back-off", 429, UNOPENED if self.gateway.s.retry_after else 0.0))
+        elif ledger is not None and ledger.refuses:
             self.metrics.add("refused_unstored")
             self._finish(exchange, Answer("back-off", 503, UNSTORED if self.gateway.s.retry_after else 0.0))
         elif self.authoriser is None:
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -205,7 +205,8 @@
             if crowded:
                 raise MessageError("one message at a time on a connection")
             asked = message(payload)
-            exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south)
+            exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south,
+                                         self.drain.tries(self.ready))
         except MessageError as error:
             self.metrics.add("malformed")
             client.keep = bool(client.reader.whole)  # whoever sends the same thing again connects again
--- a/brackenpulley/policy/drain.py
+++ b/brackenpulley/policy/drain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 
 class Drain:
     """In service, out of service by the operators' word, or ending after SIGTERM; the two ways out add up.
@@ -9,11 +11,21 @@
     Out of service: /ready says no at once, every answer ends its connection, idle connections are closed, and what
     is taken is still served. In service again: yes at once. Ending is for good."""
 
-    __slots__ = ("out_since", "ending")
+    __slots__ = ("out_since", "ending", "opened")
 
     def __init__(self) -> None:
         self.out_since: float | None = None  # when the operators took it out of service
         self.ending = False
+        self.opened = False  # it has been able to serve once
+
+    def tries(self, able: Callable[[], bool]) -> bool:
+        """Whether a message is tried, or refused at once.
+
+        Before this process could first serve, nobody was told to send to it: what comes then is what clients held
+        for a predecessor at this address (a crashed one, or one whose list is not in yet), sent again with the time
+        it had left at first. Its age cannot be known here, so it is answered at once rather than late."""
+        self.opened = self.opened or able()
+        return self.opened
 
     def out_of_service(self, now: float) -> None:
         if self.out_since is None:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -68,6 +68,12 @@
         discovery.settimeout(30)
         server.settimeout(30)
         asked = discovery.accept()[0]
+        while True:  # a process that has not been able to serve yet refuses at once: its yes comes first
+            with socket.create_connection(("127.0.0.1", port)) as probe:
+                probe.sendall(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                probe.settimeout(30)
+                if probe.recv(4096).startswith(b"HTTP/1.1 200"):
+                    break
         with socket.create_connection(("127.0.0.1", port)) as client:
             client.sendall(b"GET /a/0000000000000001 HTTP/1.1\r\nX-Request-ID: 1\r\nX-Priority-Class: a\r\n"
                            b"X-Tariff: p\r\nX-Timeout: 20000m\r\n\r\n")
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -86,3 +86,16 @@
         assert status == 200 and b"connection: close" in head.lower() and busy.ended()
         assert call(one, "PUT", "/control/in-service")[0] == 200
         assert call(one, "GET", "/control/ready")[0] == 200
+
+
+def test_what_comes_before_the_process_could_first_serve_is_refused_at_once() -> None:
+    """A restarted ingress gets what clients held for its predecessor, of an age that it cannot know."""
+    with rig(discovery="127.0.0.1:1") as one:  # nobody there: the list from the file must do after a while
+        status, head, _ = one.ask(1).answer()
+        assert status == 429 and b"retry-after" in head.lower() and one.count("relays") == 0
+        one.skip(2.0)
+        wire = one.ask(2)
+        _, server = one.served()
+        server.until(b"\r\n\r\n")
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assert wire.answer()[0] == 200 and one.count("refused_unopened") == 1
