Give up an answer from a sim server when it stands still for 2 s, not 0.5 s after it began

Change: the attempt keeps when the last bytes of its answer came; the timer is armed again for as long as bytes keep coming, and gives up after 2 s without one. The relay's own time (the module's time-out or the message's end) still bounds it. Not taken: no bound but the relay's time, which lets a server that stands still hold a connection and memory for the whole deadline.

Tests: an answer in four pieces 1.5 s apart is passed whole (fails without the change); one that stands still for 2.1 s is given up.

--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -20,7 +20,7 @@
 SWEEP = 1.0
 LARGEST = 4 << 20  # bytes of one answer at most, however much memory there is
 YOUNG, BAD_SHARE, TRIAL, NOTICE = 0.1, 0.1, 16, 0.05  # see Trust
-STALLED = 0.5  # s for the rest of an answer that has begun: one that never ends is spoilt
+STALLED = 2.0  # s without a byte of an answer that has begun: one that stands still is spoilt
 
 Key = tuple[str, Address]  # id and address: a new sim server may have the address of one that is gone
 
@@ -62,7 +62,7 @@
     """One relay. `drop` gives it up by closing its connection."""
 
     __slots__ = ("south", "message", "server", "until", "done", "conn", "out", "written", "timer",
-                 "stalling")
+                 "stalling", "heard")
 
     def __init__(self, south: Southside, message: Message, server: str, until: float,
                  done: Callable[[RelayEnd], None]) -> None:
@@ -70,6 +70,7 @@
         self.conn: Conn | None = None
         self.out = b""
         self.written = self.stalling = False
+        self.heard = 0.0  # when the last bytes of its answer came
         self.timer: Timer | None = None
 
     def drop(self) -> bool:
@@ -234,6 +235,8 @@
         finally:
             self.pool.give(buffer)
         attempt, reply = conn.relay, conn.reply
+        if attempt is not None and count > 0:
+            attempt.heard = self.loop.clock()
         if reply is not None and attempt is not None and (count <= 0 or reply.whole):
             self.trust.learn(conn.age, count <= 0 and not reply.begun)
         if reply is not None and reply.whole and attempt is not None:
@@ -253,6 +256,11 @@
             attempt.timer = self.loop.call_in(STALLED, lambda: self._stalled(conn))
 
     def _stalled(self, conn: Conn) -> None:
+        attempt = conn.relay
+        if attempt is not None and (still := self.loop.clock() - attempt.heard) < STALLED:
+            # It came slowly but it still comes: a peer may write a long answer in pieces over seconds.
+            attempt.timer = self.loop.call_in(STALLED - still, lambda: self._stalled(conn))
+            return
         self.metrics.add("answers_stalled")
         self._broken(conn)
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -99,3 +99,34 @@
         server.until(b"\r\n\r\n")
         server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         assert wire.answer()[0] == 200 and one.count("refused_unopened") == 1
+
+
+def test_an_answer_written_in_pieces_over_seconds_is_passed_on() -> None:
+    with rig() as one:
+        one.freeze()
+        wire = one.ask(1, timeout="20000m")
+        _, server = one.served()
+        server.until(b"\r\n\r\n")
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\na")
+        for piece in (b"b", b"c", b"d"):
+            one.step(1.5)  # each piece comes within 2 s of the one before it, the whole over 4.5 s
+            server.send(piece)
+            for _ in range(3):
+                one.step(0)
+        status, _, body = wire.answer()
+        assert status == 200 and body == b"abcd"
+
+
+def test_an_answer_that_stands_still_for_2_s_is_given_up() -> None:
+    with rig() as one:
+        one.freeze()
+        wire = one.ask(1, timeout="20000m")
+        _, server = one.served()
+        server.until(b"\r\n\r\n")
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab")
+        for _ in range(3):
+            one.step(0)
+        one.step(2.1)  # then nothing for longer than 2 s: it is given up, and it may have run
+        for _ in range(3):
+            one.step(0)
+        assert one.count("answers_stalled") == 1 and not wire.seen  # its client still waits, for a retry
