--- a/brackenpulley/config.py
+++ b/brackenpulley/config.py
@@ -68,6 +68,7 @@
         raise ConfigError(f"seed: {raw['seed']!r} is not hexadecimal") from None
     if rules.counter and not raw.get("counter"):
         raise ConfigError("counter: missing, and the settings allow counting")
+    console = env.get("BALANCER_CONSOLE") or raw.get("console")
     operator = operator or Operator()
     if env.get("BALANCER_CONTROL"):  # a supervisor's word goes before the file's
         operator = replace(operator, control=ControlPart(local(env["BALANCER_CONTROL"], "BALANCER_CONTROL")))
@@ -77,8 +78,7 @@
         counter=address(raw["counter"], "counter") if raw.get("counter") else None,
         seed=seed, sockets=sockets, memory_mb=memory_mb, known=_object(raw.get("known", {}), "known"), settings=rules,
         transport=conns, operator=operator,
-        console=address(env.get("BALANCER_CONSOLE") or raw["console"], "console") if (
-            env.get("BALANCER_CONSOLE") or raw.get("console")) else None)
+        console=address(console, "console") if console else None)
 
 
 def _read(path: str, env: Mapping[str, str], operator: Operator | None) -> Config:
--- a/brackenpulley/net/console.py
+++ b/brackenpulley/net/console.py
@@ -12,13 +12,14 @@
 from ..address import Address
 from . import sockets
 from .loop import READ, WRITE, Loop
+from .requests import encode
 
 HEAD = 4096  # bytes of a call's head at most
 DEADLINE = 1.0  # s from connecting until the caller is closed, whole or not
 CALLERS = 32  # at once; the oldest makes room for a new one
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 503: "Service Unavailable"}
+TEXT = b"text/plain; charset=utf-8"
 
-Call = Callable[[], tuple[int, bytes, str]]  # status, body, its content type
+Call = Callable[[], tuple[int, bytes, bytes]]  # status, body, its content type
 
 
 class Caller:
@@ -30,9 +31,8 @@
         self.answered = False
 
 
-def reply(status: int, body: bytes, kind: str = "text/plain; charset=utf-8", more: str = "") -> bytes:
-    return (f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
-            f"{more}Connection: close\r\n\r\n").encode("ascii") + body
+def reply(status: int, body: bytes, kind: bytes = TEXT, more: list[tuple[bytes, bytes]] | None = None) -> bytes:
+    return encode(status, body, False, headers=[(b"Content-Type", kind), *(more or [])])
 
 
 class Console:
@@ -103,9 +103,8 @@
             return reply(404, b"path: no call " + target[:80] + b"\n")
         call = calls.get(method)
         if call is None:
-            allowed = ", ".join(name.decode() for name in calls)
-            return reply(405, f"method: {target.decode('ascii', 'replace')} takes {allowed}\n".encode(),
-                         more=f"Allow: {allowed}\r\n")
+            allowed = b", ".join(calls)
+            return reply(405, b"method: " + target[:80] + b" takes " + allowed + b"\n", more=[(b"Allow", allowed)])
         status, body, kind = call()
         return reply(status, body, kind)
 
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -13,7 +13,7 @@
 WIRE = 8 * BODY  # and of all it takes on the wire, however it is cut into chunks
 READ = {name.encode(): name for name in (*CONTROL, "x-retried", "x-reservation", "connection")}  # the rest passes by
 REASON = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 408: "Request Timeout",
-          409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+          405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
           431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
           503: "Service Unavailable", 504: "Gateway Timeout"}
 
--- a/brackenpulley/policy/drain.py
+++ b/brackenpulley/policy/drain.py
@@ -11,10 +11,10 @@
     Out of service: /ready says no at once, every answer ends its connection, idle connections are closed, and what
     is taken is still served. In service again: yes at once. Ending is for good."""
 
-    __slots__ = ("out_since", "ending", "opened")
+    __slots__ = ("out", "ending", "opened")
 
     def __init__(self) -> None:
-        self.out_since: float | None = None  # when the operators took it out of service
+        self.out = False  # the operators took it out of service
         self.ending = False
         self.opened = False  # it has been able to serve once
 
@@ -27,12 +27,11 @@
         self.opened = self.opened or able()
         return self.opened
 
-    def out_of_service(self, now: float) -> None:
-        if self.out_since is None:
-            self.out_since = now
+    def out_of_service(self) -> None:
+        self.out = True
 
     def in_service(self) -> None:
-        self.out_since = None
+        self.out = False
 
     def end(self) -> None:
         self.ending = True
@@ -40,7 +39,7 @@
     @property
     def draining(self) -> bool:
         """No new work is wanted: answers end their connections, idle ones are closed."""
-        return self.ending or self.out_since is not None
+        return self.ending or self.out
 
     def ready(self, able: bool) -> bool:
         """What /ready says, where `able` tells that a list of servers is in hand."""
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -35,7 +35,7 @@
 SPARE, SPARE_PART = 64, 8  # descriptors for everything but clients and sim servers: at most, and 1 / part of all
 CLIENT_KB, MEMORY_PART = 80, 4  # a client with a whole message in hand; 1 / part of the memory is for them
 GIVE_BACK = 0.05  # s at the end for leased units to reach the counter
-TEXT, PROMETHEUS = "text/plain; charset=utf-8", "text/plain; version=0.0.4; charset=utf-8"
+TEXT, PROMETHEUS = b"text/plain; charset=utf-8", b"text/plain; version=0.0.4; charset=utf-8"
 KNOWN_ENOUGH = 1.5  # s after which the list from the configuration must do
 
 
@@ -94,7 +94,11 @@
         self.members: Any = None
         self.tally: Any = None
         self._extras()
-        self.ending = False
+
+    @property
+    def ending(self) -> bool:
+        """SIGTERM came: the drain holds it."""
+        return self.drain.ending
 
     def _extras(self) -> None:
         """What the operator's file switches on; without it nothing of it is loaded."""
@@ -152,20 +156,20 @@
 
     def _calls(self) -> dict[bytes, dict[bytes, Any]]:
         """The operators' calls: each reads what is held and answers in the same turn."""
-        def ready() -> tuple[int, bytes, str]:
+        def ready() -> tuple[int, bytes, bytes]:
             yes = self.drain.ready(self.ready())
             return (200, b"ready\n", TEXT) if yes else (503, b"not ready\n", TEXT)
 
-        def counters() -> tuple[int, bytes, str]:
+        def counters() -> tuple[int, bytes, bytes]:
             return 200, exposition(self.metrics, self.gauges()), PROMETHEUS
 
-        def out() -> tuple[int, bytes, str]:
-            self.drain.out_of_service(self.clock())
+        def out() -> tuple[int, bytes, bytes]:
+            self.drain.out_of_service()
             self.north.close_unused()
             self.log.info("out of service")
             return 200, b"out of service\n", TEXT
 
-        def back() -> tuple[int, bytes, str]:
+        def back() -> tuple[int, bytes, bytes]:
             self.drain.in_service()
             self.log.info("in service")
             return 200, b"in service\n", TEXT
@@ -204,7 +208,6 @@
     def end(self) -> None:
         """Take what still arrives for a while, finish all that is held, then stop."""
         if not self.ending:
-            self.ending = True
             self.drain.end()
             self.log.info("ending")
             if self.health is not None:
