--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from . import interface as i
-from .state import NEVER, Customer, Held, Server, Servers, pack_note, unpack_note
+from .state import NEVER, ClassRecord, Customer, Customers, Held, Server, Servers
 
 # Latency loop: the paper's figure 4 and section 3.3.
 RUN_SAMPLES, RUN_SECONDS, KEEP, ERR_UP, CUT, RISE, RISE_ZERO = 100, 1.0, 0.7, -0.5, 1.2, 2.0, 0.1
@@ -41,31 +41,20 @@
 NOT_REACHED = ("connect_failed", "moot")  # and these that it never reached a server whole: it takes no units
 
 
-class Loop:  # the rate of one class, tuned on the smoothed 90th percentile of its attempts' latencies
+class Loop(ClassRecord):
+    """The rate of one class, tuned on the smoothed 90th percentile of its attempts' latencies."""
 
     def __init__(self, spec: i.ClassSpec, now: float) -> None:
-        self.spec, self.target, self.lower = spec, spec.aim, list[Loop]()
-        self.rate = self.tokens = RATE_MAX
-        self.cur, self.count, self.barred, self.busy, self.at, self.run_at = 0.0, 0, False, False, now, now
-        self.samples: deque[tuple[float, float]] = deque(maxlen=RUN_SAMPLES)
-        self.fresh, self.sent, self.admitted, self.mean, self.part = 0, 0, 0.0, spec.aim / 8, 1.0
-
-    def fill(self, now: float) -> None:
-        self.tokens = min(max(self.rate, 1.0), self.tokens + self.rate * (now - self.at))
-        self.at = now
+        super().__init__(spec, now, RATE_MAX, RUN_SAMPLES)
+        self.lower = list[Loop]()
 
     def cut(self, by: float) -> None:
         self.rate = max(RATE_MIN, min(self.rate, max(self.admitted, 1.0)) / by)  # an idle rate eats cuts
 
     def run(self, now: float, ages: list[float]) -> None:
         """One run; `ages` are of attempts still out that are past the target: proven to be slow already."""
-        dt = max(now - self.run_at, BEAT)
-        self.admitted += min(1.0, dt / 2) * (self.sent / dt - self.admitted)
-        self.run_at, self.sent, self.fresh = now, 0, 0
-        while self.samples and self.samples[0][0] < now - max(RUN_SECONDS, self.spec.aim):
-            self.samples.popleft()
-        seen = sorted([s for _, s in self.samples] + ages)
-        self.cur = KEEP * self.cur + (1 - KEEP) * (seen[int(0.9 * (len(seen) - 1))] if seen else 0.0)
+        self.turn(now, BEAT)
+        self.cur = KEEP * self.cur + (1 - KEEP) * self.high(now - max(RUN_SECONDS, self.spec.aim), ages)
         aim = min(self.spec.deadline, self.target + self.spec.aim_stretch * self.mean)  # own work is not told
         err = (self.cur - aim) / aim if self.busy else -1.0  # with little out slow samples speak of servers
         barred, self.barred, self.busy = self.barred, False, False
@@ -95,16 +84,15 @@
         self.longest = max(c.deadline for c in settings.classes)
         self.trials_by = "safe" if any(c.effect == "safe" for c in settings.classes) else ""
         self.plans = {p.name: p for p in settings.plans}
-        self.customers: dict[int, Customer] = {}
-        self.servers, self.reqs = Servers(), dict[str, Held]()
+        self.customers, self.servers, self.reqs = Customers(), Servers(), dict[str, Held]()
         self.note_gap = max(NOTE_GAP, 1.5 * (settings.gateways - 1) / max(settings.peer_per_s, 1.0))
         self.by_notes = settings.peers and self.note_gap <= STALE / 5  # fresh against a burst
-        self.note_at = self.warm_at = self.call_at = self.called = now
-        self.pace = self.good = self.out = self.queue = self.warm_rate = self.warm_sent = 0.0
+        self.note_at = self.servers.warm_at = self.call_at = self.called = now
+        self.pace = self.good = self.out = 0.0
         self.asked: deque[str] = deque(maxlen=3)  # names: a restart makes a new record
         self.token, self.watched, self.watch_at = 0, False, NEVER
         self.gap = min(PACE_MAX, max(GAP / 2, settings.gateways / FIRST_CALLS))  # all may begin at once
-        self.due, self.counting = dict[int, Customer](), -1  # whose use is to be told; the call that is out
+        self.counting = -1  # the call that is out
         self.acts: list[i.Action] = []
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -151,25 +139,21 @@
         done = q.tries >= self.s.max_attempts or now >= q.until - self.s.tick
         if done or not (s := self.choose(now, q, group)):
             return False
-        q.first = q.first or now
-        q.server, q.sent, q.out = s, now, True
-        self.servers.sent(s, (q.r.id, q.tries), now)
-        self.warm_sent += s.warmth(now, self.s) == 1
-        s.tokens, q.tries = s.tokens - 1, q.tries + 1
-        if q.cust:
-            q.cust.open += 1
+        self.servers.sent(s, (q.r.id, q.tries), now, s.warmth(now, self.s) == 1)
+        q.went(s, now)
         timed = not self.s.cancel and not spec.stream and self.may_repeat(now, q, s)
         self.acts.append(i.Send(q.r.id, s.e.server, max(spec.aim / 2, SILENT * q.loop.mean) * timed))
         return True
 
     def outcome(self, now: float, o: i.Outcome) -> None:
         q, s = self.reqs.get(o.id), self.servers.get(o.server)
-        self.load(now, s, o.load)
         if s:
+            self.servers.reported(s, now, self.s.report_fields, o.load)
             self.servers.ended(s, (o.id, o.attempt))
         if q is None or not q.out or o.attempt != q.tries - 1:
             return
-        spec, q.out = q.loop.spec, False
+        effect = q.loop.spec.effect
+        q.came(o.status not in NOT_REACHED, o.status not in NOT_RUN)
         if c := q.cust:
             c.open -= 1
             if o.cost and self.s.settles:
@@ -181,15 +165,12 @@
                 self.learn(now, c, max(0.0, (o.used - 1) / 100 * c.plan.rate - c.own) * dt, now - dt)
         if s:
             self.judge(now, q, s, o)
-        if o.status not in NOT_RUN and q.ran is None:
-            q.ran, q.ran_on = q.sent, q.server
-        q.reached = q.reached or o.status not in NOT_REACHED
         if o.closed or q.ended or o.status == "ok":
             self.over(now, q, o.pending)
         elif not self.send(now, q):
             self.over(now, q, False)
             # A refusal says that another try is harmless: if this one may have run, its class must allow it.
-            if q.ran is None or spec.effect == "safe" or spec.effect == "keyed" and spec.group == "all":
+            if q.ran is None or effect == "safe" or effect == "keyed" and q.loop.spec.group == "all":
                 self.refuse(o.id, q.loop.mean, "servers")
             else:
                 self.acts.append(i.Fail(o.id))
@@ -223,8 +204,8 @@
             spread = max(1, r.spread)
             level = 0.0 if self.s.leased else self.share(plan, spread, self.s.most_units)
             share = self.share(plan, spread, self.s.most_units * SAVED)
-            c = Customer(r.customer, plan, spread, r.first, share, level, now, now, now, now)
-            self.customers[r.customer] = c
+            self.customers[r.customer] = c = Customer(
+                r.customer, plan, spread, r.first, share, level, now, now, now, now)
         elif not r.retry and (plan.name != c.left or now >= c.moved_at + self.longest):
             # A retry may still name the plan that its first try was on, and some are not marked as retries.
             self.move(now, c, plan, c.plan.name)
@@ -234,21 +215,10 @@
         return min(plan.burst, max(plan.burst / spread, least))
 
     def move(self, now: float, c: Customer, plan: i.PlanSpec, left: str = "") -> None:
-        """Another plan, or other figures of the same: what is missing from the full store goes on missing."""
         self.fill(now, c)
-        old, old_share, told = c.plan, c.share, now - c.read_at <= STALE
-        c.left, c.moved_at, c.plan = left, now, plan  # nobody names a plan that the book has ended
-        c.share = self.share(plan, c.spread, self.s.most_units * SAVED)
-        if not old.rate:  # there was no store that anything could be missing from
-            c.level = 0.0 if self.s.leased else plan.burst if told else c.share
-        elif not self.s.leased:
-            c.level += plan.burst - old.burst if told else c.share - old_share
-        if told:  # the next reading fills at the new rate since the last one: before now it was the old rate
-            c.granted += (plan.rate - old.rate) * (now - c.read_at)
-        if old.ceiling_rate and plan.ceiling_rate:
-            c.ceil += (plan.ceiling_room - old.ceiling_room) / c.spread
-        else:
-            c.ceil, c.ceil_at = 0.0, now
+        c.left = left  # nobody names a plan that the book has ended
+        share = self.share(plan, c.spread, self.s.most_units * SAVED)
+        c.moved(now, plan, share, self.known(now, c), self.s.leased)
 
     def figures(self, now: float, e: i.PlanFigures) -> None:
         self.plans.update({plan.name: plan for plan in e.plans})
@@ -290,43 +260,37 @@
         if c := self.customer(now, e):
             c.level += e.units
 
+    def known(self, now: float, c: Customer) -> bool:
+        """A reading still speaks for the customer's other gateways."""
+        return now - c.read_at <= STALE
+
     def fill(self, now: float, c: Customer) -> None:
         """Own last use plus an even part of the room left by the last reading; with none, the even share."""
         dt, c.at, c.read_at = now - c.at, now, now if c.spread == 1 else c.read_at
         c.own *= math.exp(-dt)
         if self.s.leased:
             return
-        if now - c.read_at <= STALE:
-            rate, cap = c.own + (c.plan.rate - c.own - c.others) / c.spread, c.plan.burst
+        if self.known(now, c):
+            c.fill(c.own + (c.plan.rate - c.own - c.others) / c.spread, c.plan.burst, dt)
         else:
-            rate, cap = c.plan.rate / c.spread, c.share
-        new = min(cap, c.level + max(0.0, rate) * dt)
-        c.level, c.granted = new, c.granted + new - c.level
+            c.fill(c.plan.rate / c.spread, c.share, dt)
 
     def learn(self, now: float, c: Customer, used: float, since: float) -> None:
-        """The others have used this much since then: put the store right; none falls below nothing."""
+        """The others have used this much since then: put the store right."""
+        dt = max(0.0, now - since)
         self.fill(now, c)
-        dt, least = max(0.0, now - since), min(0.0, c.level)
-        if now - c.read_at > STALE:
-            c.level += c.plan.burst - c.share - max(0.0, used - c.plan.rate * dt)
-        else:
-            c.level += c.plan.rate * dt - used - c.granted
-        c.level, c.granted, c.read_at = min(c.plan.burst, max(least, c.level)), 0.0, now
+        c.read(now, used, dt, self.known(now, c))
         c.others += dt / (dt + 1.0) * (used / max(dt, BEAT) - c.others)
 
     def over_quota(self, now: float, c: Customer, units: float) -> float:
         """0 where the request may pass, else how long to wait."""
         p = c.plan
         self.fill(now, c)
-        if p.ceiling_rate:
-            # An earlier life may have spent the ceiling: this life's part starts empty and is its own alone.
-            room = p.ceiling_room / c.spread
-            c.ceil = min(room, c.ceil + p.ceiling_rate / c.spread * (now - max(c.ceil_at, self.born)))
-            c.ceil_at = now
-            if c.ceil < units:
-                return (units - c.ceil) * c.spread / p.ceiling_rate
+        # An earlier life may have spent the ceiling: this life's part starts empty and is its own alone.
+        if p.ceiling_rate and (room := c.under_ceiling(now, self.born)) < units:
+            return (units - room) * c.spread / p.ceiling_rate
         if p.open:
-            told = now - c.read_at <= STALE and (self.by_notes or c.spread == 1)
+            told = self.known(now, c) and (self.by_notes or c.spread == 1)
             others = sum(c.others_open.values())  # as told; one more for what they sent on since
             cap = p.open - others - min(1.0, others) if told else math.ceil(p.open / c.spread)
             if c.open >= cap:
@@ -337,20 +301,18 @@
         """Use is told to the counter where the customer could come near its quota; nothing waits for it."""
         if not self.s.counter or self.by_notes or self.s.leased or c.spread == 1 or not c.plan.rate:
             return
-        if c.unsaid <= 0:  # what was told and is returned is told too
-            self.due.pop(c.key, None)
-            self.due.update({c.key: c} if c.unsaid <= -1 else {})
-            return
-        cap = c.plan.burst if now - c.read_at <= STALE else c.share
-        if c.unsaid >= CALL_PART * c.plan.burst / c.spread or c.tries > 1 and c.level < cap * CALL_LOW:
-            self.due[c.key] = c
+        if c.unsaid <= 0:
+            return self.customers.to_tell(c, c.unsaid <= -1)  # what was told and is returned is told too
+        low = c.tries > 1 and c.level < CALL_LOW * (c.plan.burst if self.known(now, c) else c.share)
+        if low or c.unsaid >= CALL_PART * c.plan.burst / c.spread:
+            self.customers.to_tell(c, True)
 
     def call(self, now: float) -> None:
         """One call at a time, most unsaid first: many at once wait for each other until they are given up."""
-        if now < self.call_at or not (ready := [c for c in self.due.values() if now >= c.next_call]):
+        if now < self.call_at or not (ready := self.customers.callable(now)):
             return
         c = max(ready, key=lambda c: abs(c.unsaid) / c.plan.burst)
-        del self.due[c.key]
+        self.customers.to_tell(c, False)
         name = int(now // EPOCH) % (1 << 29) << 33 | c.key % (1 << 33)
         c.called(name, now + GAP)
         self.counting, self.called, self.call_at = name, now, now + max(self.gap, 2 * self.s.counter_timeout)
@@ -375,22 +337,8 @@
         self.note_use(now, c)
         self.call(now)
 
-    def tell(self, now: float) -> None:
-        """Use in all and attempts out, where they changed, for the peers; totals mend lost notes."""
-        rows = [c for c in self.customers.values() if c.spread > 1 and c.told != (round(c.used), c.open)]
-        for c in rows:
-            c.told = (round(c.used), c.open)
-        self.note_at, notes = now, pack_note((c.key, *c.told) for c in rows)
-        self.acts += [i.Tell(-1, note) for note in notes]
-
     def note(self, now: float, e: i.PeerNote) -> None:
-        heard: dict[int, float] = {}
-        for key, used, out in unpack_note(e.data):
-            if c := self.customers.get(key):  # first told: all new, unless over a burst: an older story
-                last, c.told_by[e.peer] = c.told_by.get(e.peer), used
-                new = float(used) if last is None or used < last else used - last
-                heard[key] = new * (last is not None or new <= c.plan.burst)
-                c.others_open[e.peer] = (c.others_open.get(e.peer, out) + out) / 2
+        heard = self.customers.heard(e.peer, e.data)
         for c in self.customers.values():
             if c.spread > 1 and (e.peer - c.first) % self.s.places < c.spread:
                 self.learn(now, c, heard.get(c.key, 0.0), max(c.read_at, c.born, now - STALE))
@@ -407,28 +355,18 @@
             self.servers.count(now - SILENT * max(x.mean for x in self.loops.values()))
         return self.servers.in_use, self.servers.held
 
-    def load(self, now: float, s: Server | None, values: list[float], queue: float = -1.0) -> None:
-        for name, v in zip(self.s.report_fields, values, strict=False):
-            if name in ("queue", "inflight"):
-                queue = v
-        if s and queue >= 0:  # none told is not idle
-            s.queue, s.told_at, self.queue = queue, now, self.queue + 0.1 * (queue - self.queue)
-
     def probed(self, now: float, e: i.Probed) -> None:
         if s := self.servers.get(e.server):
             self.asked.append(e.server)  # with no report, a waiting probe's latency tells the queue
             waits = e.latency / max(x.mean for x in self.loops.values()) if e.status == "ok" else ASIDE_MAX
-            self.load(now, s, e.load, CORES * waits)
+            self.servers.reported(s, now, self.s.report_fields, e.load, CORES * waits)
 
     def cold_room(self, now: float, s: Server, warm: float) -> bool:
         """A cold server falls over under a burst: a budget of this gateway's part of the least it can do."""
-        can = self.s.fall_multiple * warm * self.warm_rate * s.e.size
+        can = self.s.fall_multiple * warm * self.servers.warm_rate * s.e.size
         rate = max(COLD_PART * can, 1.0 / self.s.fall_time / max(self.s.gateways, self.s.cold_gateways))
-        if s.tokens_at == NEVER:  # gateways that all start at nothing would send their first in step
-            s.tokens, s.tokens_at = self.rng.random(), now
-        s.tokens = min(max(1.0, rate * min(1.0, self.s.fall_time)), s.tokens + rate * (now - s.tokens_at))
-        s.tokens_at = now
-        return s.tokens >= 1
+        first = self.rng.random() if s.tokens_at == NEVER else 0.0  # never in step with other gateways' first
+        return s.budget(now, rate, max(1.0, rate * min(1.0, self.s.fall_time)), first) >= 1
 
     def choose(self, now: float, q: Held, group: Server | None) -> Server | None:
         """The best of a few drawn by size: the best of all would be the same for each of many gateways."""
@@ -454,7 +392,7 @@
                     s.trial_at = now + s.wait
                     return s
                 continue
-            queue = (s.queue if now - s.told_at < STALE else self.queue) / CORES
+            queue = (s.queue if now - s.told_at < STALE else self.servers.queue) / CORES
             wait = 1 + (len(s.out) + queue) * s.part  # a cold one's budget counts its warmth already
             slow = 1 + (s.slow - 1) * math.exp((s.answered - now) / FADE if s.answered < now else 0.0)
             if s.out and (silent := (now - s.unheard()) / (SILENT * q.loop.mean)) > slow:
@@ -535,15 +473,13 @@
             if now - x.run_at >= RUN_SECONDS or x.fresh >= RUN_SAMPLES:
                 x.run(now, [now - q.sent for q in self.reqs.values() if q.loop is x and q.out
                             and not q.bound and now - q.sent > x.target and q.server and not q.server.aside])
-        if now - self.warm_at >= RUN_SECONDS:
-            if size := self.servers.warm_size(now, self.s):
-                self.warm_rate += GAIN * (self.warm_sent / size / (now - self.warm_at) - self.warm_rate)
-            kept = ((k, c) for k, c in self.customers.items() if now - c.seen_at <= 2 * EPOCH or c.open)
-            self.warm_sent, self.warm_at, self.customers = 0, now, dict(kept)
-            self.due = {k: c for k, c in self.due.items() if k in self.customers}
+        if now - self.servers.warm_at >= RUN_SECONDS:
+            self.servers.warm_pace(now, self.s, GAIN)
+            self.customers.age(now - 2 * EPOCH)
         self.call(now)
         if self.by_notes and now - self.note_at >= self.note_gap:
-            self.tell(now)
+            self.note_at = now
+            self.acts += [i.Tell(-1, note) for note in self.customers.news()]
 
 
 DOES: dict[type, Callable[[Gateway, float, Any], None]] = {
--- a/brackenpulley/policy/drain.py
+++ b/brackenpulley/policy/drain.py
@@ -8,34 +8,26 @@
 class Drain:
     """In service, out of service by the operators' word, or ending after SIGTERM; the two ways out add up.
 
-    Out of service: /ready says no at once, every answer ends its connection, idle connections are closed, and what
-    is taken is still served. In service again: yes at once. Ending is for good."""
+    Out of service: /ready says no at once, every answer ends its connection, idle connections are closed, and
+    what is taken is still served. In service again: yes at once. Ending is for good."""
 
     __slots__ = ("out", "ending", "opened")
 
     def __init__(self) -> None:
         self.out = False  # the operators took it out of service
-        self.ending = False
+        self.ending = False  # SIGTERM came
         self.opened = False  # it has been able to serve once
 
     def tries(self, able: Callable[[], bool]) -> bool:
         """Whether a message is tried, or refused at once.
 
-        Before this process could first serve, nobody was told to send to it: what comes then is what clients held
-        for a predecessor at this address (a crashed one, or one whose list is not in yet), sent again with the time
-        it had left at first. Its age cannot be known here, so it is answered at once rather than late."""
+        Before this process could first serve, nobody was told to send to it: what comes then is what
+        clients held for a predecessor at this address (a crashed one, or one without a list yet), sent
+        again with the time it had left at first. Its age cannot be known here, so it is answered at once,
+        not late."""
         self.opened = self.opened or able()
         return self.opened
 
-    def out_of_service(self) -> None:
-        self.out = True
-
-    def in_service(self) -> None:
-        self.out = False
-
-    def end(self) -> None:
-        self.ending = True
-
     @property
     def draining(self) -> bool:
         """No new work is wanted: answers end their connections, idle ones are closed."""
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -2,20 +2,50 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import accumulate
 from math import inf
-from typing import TYPE_CHECKING
 
-from .interface import PlanSpec, Request, ServerEntry, Settings
-
-if TYPE_CHECKING:
-    from .brain import Loop
+from .interface import ClassSpec, PlanSpec, Request, ServerEntry, Settings
 
 NEVER = -1e18
 
 
+class ClassRecord:
+    """One class: its bucket, and the latencies of its attempts. Times are seconds, `rate` is messages a second."""
+
+    def __init__(self, spec: ClassSpec, now: float, rate: float, keep: int) -> None:
+        """At most `keep` latencies are held."""
+        self.spec, self.target, self.part = spec, spec.aim, 1.0
+        self.rate = self.tokens = rate
+        self.at = self.run_at = now
+        self.cur = self.admitted = 0.0  # smoothed percentile of latencies; smoothed messages let in a second
+        self.mean = spec.aim / 8  # latency of the good answers
+        self.count = self.fresh = self.sent = 0  # runs in vain; samples and messages let in since the last run
+        self.barred = self.busy = False
+        self.samples: deque[tuple[float, float]] = deque(maxlen=keep)
+
+    def fill(self, now: float) -> None:
+        """The bucket holds what one second gives."""
+        self.tokens = min(max(self.rate, 1.0), self.tokens + self.rate * (now - self.at))
+        self.at = now
+
+    def turn(self, now: float, least: float) -> None:
+        """A run begins, at least `least` after the last: what was let in since is counted into `admitted`."""
+        dt = max(now - self.run_at, least)
+        self.admitted += min(1.0, dt / 2) * (self.sent / dt - self.admitted)
+        self.run_at, self.sent, self.fresh = now, 0, 0
+
+    def high(self, since: float, more: list[float]) -> float:
+        """The 90th percentile of the latencies `since` then and of `more`; 0 with neither."""
+        while self.samples and self.samples[0][0] < since:
+            self.samples.popleft()
+        seen = sorted([s for _, s in self.samples] + more)
+        return seen[int(0.9 * (len(seen) - 1))] if seen else 0.0
+
+
 @dataclass(slots=True)
 class Customer:
     key: int
@@ -51,6 +81,51 @@
     def take(self, units: float) -> None:
         self.level, self.used, self.unsaid = self.level - units, self.used + units, self.unsaid + units
 
+    def fill(self, rate: float, cap: float, dt: float) -> None:
+        """The store fills at this rate, up to `cap`, and never loses by it."""
+        new = min(cap, self.level + max(0.0, rate) * dt)
+        self.level, self.granted = new, self.granted + new - self.level
+
+    def read(self, now: float, used: float, dt: float, told: bool) -> None:
+        """The others used this much in `dt`: the store is put right, and falls below nothing by own use alone.
+
+        `told`: there was a reading not long before, so that only what was granted since it is in question."""
+        least = min(0.0, self.level)
+        if told:
+            self.level += self.plan.rate * dt - used - self.granted
+        else:
+            self.level += self.plan.burst - self.share - max(0.0, used - self.plan.rate * dt)
+        self.level, self.granted, self.read_at = min(self.plan.burst, max(least, self.level)), 0.0, now
+
+    def moved(self, now: float, plan: PlanSpec, share: float, told: bool, leased: bool) -> None:
+        """Another plan, or other figures of the same: what is missing from the full store goes on missing."""
+        old, old_share, self.plan, self.share, self.moved_at = self.plan, self.share, plan, share, now
+        if not old.rate:  # there was no store that anything could be missing from
+            self.level = 0.0 if leased else plan.burst if told else share
+        elif not leased:
+            self.level += plan.burst - old.burst if told else share - old_share
+        if told:  # the next reading fills at the new rate since the last one: before now it was the old rate
+            self.granted += (plan.rate - old.rate) * (now - self.read_at)
+        if old.ceiling_rate and plan.ceiling_rate:
+            self.ceil += (plan.ceiling_room - old.ceiling_room) / self.spread
+        else:
+            self.ceil, self.ceil_at = 0.0, now
+
+    def under_ceiling(self, now: float, born: float) -> float:
+        """Units left in this gateway's part of the second store, which fills from `born` on."""
+        rate, room = self.plan.ceiling_rate / self.spread, self.plan.ceiling_room / self.spread
+        self.ceil = min(room, self.ceil + rate * (now - max(self.ceil_at, born)))
+        self.ceil_at = now
+        return self.ceil
+
+    def heard(self, peer: int, used: int, out: int) -> float:
+        """A peer told its use in all and its attempts out; what is new of the use."""
+        last, self.told_by[peer] = self.told_by.get(peer), used
+        self.others_open[peer] = (self.others_open.get(peer, out) + out) / 2
+        if last is None:  # first told: all of it is new, unless over a burst: that is an older story
+            return float(used) if used <= self.plan.burst else 0.0
+        return float(used if used < last else used - last)  # less than last: the peer began anew
+
     def called(self, name: int, again: float) -> None:
         """What is not reported yet is on its way under this name, and nothing more before `again`."""
         if name != self.name:
@@ -73,6 +148,42 @@
         self.calling = 0.0
 
 
+class Customers(dict[int, Customer]):
+    """The customers by key, and whose use is to be told to the counter."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.due = dict[int, Customer]()
+
+    def to_tell(self, c: Customer, is_so: bool) -> None:
+        """Returned units, which are told as well, wait behind the others."""
+        if c.unsaid <= 0 or not is_so:
+            self.due.pop(c.key, None)
+        if is_so:
+            self.due[c.key] = c
+
+    def callable(self, now: float) -> list[Customer]:
+        """Those due whose last call was long enough ago."""
+        return [c for c in self.due.values() if now >= c.next_call]
+
+    def age(self, since: float) -> None:
+        """Who was not seen since then, with nothing out, is forgotten."""
+        for key in [key for key, c in self.items() if c.seen_at < since and not c.open]:
+            del self[key]
+            self.due.pop(key, None)
+
+    def news(self) -> list[str]:
+        """Use in all and attempts out, where they changed since they were last told, as notes for the peers."""
+        rows = [c for c in self.values() if c.spread > 1 and c.told != (round(c.used), c.open)]
+        for c in rows:
+            c.told = (round(c.used), c.open)
+        return pack_note((c.key, *c.told) for c in rows)
+
+    def heard(self, peer: int, note: str) -> dict[int, float]:
+        """What is new of the customers' use in a peer's note."""
+        return {key: self[key].heard(peer, used, out) for key, used, out in unpack_note(note) if key in self}
+
+
 @dataclass(slots=True)
 class Server:
     e: ServerEntry
@@ -121,6 +232,14 @@
         """A connection to it stands unused, for all that is known here: the last answer left one behind."""
         return now - self.answered < idle and not self.out
 
+    def budget(self, now: float, rate: float, most: float, first: float) -> float:
+        """Attempts that a cold server may get now, at `rate` a second up to `most`, beginning with `first`."""
+        if self.tokens_at == NEVER:
+            self.tokens, self.tokens_at = first, now
+        self.tokens = min(most, self.tokens + rate * (now - self.tokens_at))
+        self.tokens_at = now
+        return self.tokens
+
     def mate(self, other: Server, group: str) -> bool:
         """The other one drops a repeat of what ran here."""
         return group == "all" or (
@@ -140,6 +259,8 @@
         self.in_use = self.held = 0  # servers up, not set aside and heard; their attempts out that are not overdue
         self.late = NEVER  # what was sent by then is overdue
         self.stale = True  # these are to be counted anew
+        self.queue = 0.0  # as servers told it, smoothed over all
+        self.warm_sent, self.warm_rate, self.warm_at = 0, 0.0, NEVER  # to warm ones; a second and size; since when
 
     def told(self, whole: bool, entries: Iterable[ServerEntry]) -> None:
         """The list, `whole` or what changed in it. A server that started anew has a new record and its old attempts."""
@@ -171,10 +292,24 @@
                 self.in_use -= not s.counted
                 self.held += s.recent(late) if s.counted else 0
 
-    def warm_size(self, now: float, settings: Settings) -> float:
-        return sum(s.e.size for s in self.up if s.warmth(now, settings) == 1)
-
-    def sent(self, s: Server, attempt: tuple[str, int], now: float) -> None:
+    def warm_pace(self, now: float, settings: Settings, gain: float) -> None:
+        """What warm servers get a second and size, taken in with weight `gain`; unchanged where none is warm."""
+        if size := sum(s.e.size for s in self.up if s.warmth(now, settings) == 1):
+            self.warm_rate += gain * (self.warm_sent / size / (now - self.warm_at) - self.warm_rate)
+        self.warm_sent, self.warm_at = 0, now
+
+    def reported(self, s: Server, now: float, fields: Iterable[str], values: list[float], queue: float = -1.0) -> None:
+        """What a server said of its queue; without a word on it `queue` counts, and where that is below 0 nothing."""
+        for name, value in zip(fields, values, strict=False):
+            if name in ("queue", "inflight"):
+                queue = value
+        if queue >= 0:  # none told is not idle
+            s.queue, s.told_at = queue, now
+            self.queue += 0.1 * (queue - self.queue)
+
+    def sent(self, s: Server, attempt: tuple[str, int], now: float, warm: bool) -> None:
+        self.warm_sent += warm
+        s.tokens -= 1
         if not s.out:
             self.busy[s.e.server] = s
             s.counted = not s.aside
@@ -204,7 +339,7 @@
     """A request in hand."""
 
     r: Request
-    loop: Loop
+    loop: ClassRecord
     cust: Customer | None
     until: float
     tries: int = 0
@@ -220,6 +355,21 @@
     cost: float = 0.0  # true units, once told
     plan: str = ""  # the customer's when it was let in
 
+    def went(self, s: Server, now: float) -> None:
+        """An attempt goes out."""
+        self.first = self.first or now
+        self.server, self.sent, self.out = s, now, True
+        self.tries += 1
+        if self.cust:
+            self.cust.open += 1
+
+    def came(self, reached: bool, ran: bool) -> None:
+        """It is over: whether it reached a server whole, and whether it may have run."""
+        self.out = False
+        self.reached = self.reached or reached
+        if ran and self.ran is None:
+            self.ran, self.ran_on = self.sent, self.server
+
 
 def pack_note(rows: Iterable[tuple[int, int, int]]) -> list[str]:
     """Notes of 256 bytes at most that carry customer, use in all and attempts out; one note at least."""
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -164,13 +164,13 @@
             return 200, exposition(self.metrics, self.gauges()), PROMETHEUS
 
         def out() -> tuple[int, bytes, bytes]:
-            self.drain.out_of_service()
+            self.drain.out = True
             self.north.close_unused()
             self.log.info("out of service")
             return 200, b"out of service\n", TEXT
 
         def back() -> tuple[int, bytes, bytes]:
-            self.drain.in_service()
+            self.drain.out = False
             self.log.info("in service")
             return 200, b"in service\n", TEXT
 
@@ -208,7 +208,7 @@
     def end(self) -> None:
         """Take what still arrives for a while, finish all that is held, then stop."""
         if not self.ending:
-            self.drain.end()
+            self.drain.ending = True
             self.log.info("ending")
             if self.health is not None:
                 self.health.ending()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -91,3 +91,24 @@
     seen = json.loads(out.read_text())
     assert {family for event, family in seen if event == "socket.__new__"} == {int(socket.AF_INET)}
     assert [event for event, _ in seen if event != "socket.__new__"] == [] and threads == 1
+
+
+def test_the_module_is_measured_over_all_files_that_policy_names(tmp_path: Path) -> None:
+    """One file alone was looked at: two of 300 lines each passed, and the operators run no module over 500 in all."""
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy" / "balancer.toml").write_text('policy = ["one.py", "two.py"]\n')
+    (tmp_path / "one.py").write_text("x = 1\n\n" * 300)
+
+    def measured(deploy: Path) -> subprocess.CompletedProcess[str]:
+        return subprocess.run([sys.executable, str(ROOT / ".ci" / "module.py"), str(deploy)],
+                              capture_output=True, text=True)
+
+    def checked(lines: int, width: int = 5) -> subprocess.CompletedProcess[str]:
+        (tmp_path / "two.py").write_text("y = 1".ljust(width, "1") + "\n" + "y = 1\n" * (lines - 1))
+        return measured(tmp_path / "deploy" / "balancer.toml")
+
+    assert checked(200).returncode == 0
+    assert checked(201).returncode == 1 and "501 non-blank lines together" in checked(201).stderr
+    assert "two.py:1: over 110 columns" in checked(10, 111).stderr
+    own = measured(ROOT / "deploy" / "balancer.toml")
+    assert own.returncode == 0, own.stderr
--- a/tests/test_module_cost.py
+++ b/tests/test_module_cost.py
@@ -49,7 +49,7 @@
             s = servers[name]
             if what == "send" and s.e.state == "up":
                 serial += 1
-                servers.sent(s, (f"r{serial}", 0), now)
+                servers.sent(s, (f"r{serial}", 0), now, True)
                 out.append((name, (f"r{serial}", 0)))
             elif what == "answer":
                 s.answered = now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -259,7 +259,7 @@
     sent, gateways = 0, []
     for me in range(300):
         g = Gateway(settings(gateways=300, me=me), me, 1000.0)
-        g.warm_rate = 2.0 / 300  # two requests a second at a warm server, from all of them
+        g.servers.warm_rate = 2.0 / 300  # two requests a second at a warm server, from all of them
         g.handle(1000.0, ServerList("full", [ServerEntry("s0", started=999.0)]))
         gateways.append(g)
     for step in range(20):  # 2 s, the window of the rule; multiple 3, at least a fifth warm
@@ -275,7 +275,7 @@
     for me in range(40):
         d = Drive(0, gateways=40, me=me, cold_time=18.0, counter=False)
         d.g.rng.seed(me)
-        d.g.warm_rate = 0.15  # six a second at a warm server, from all of them
+        d.g.servers.warm_rate = 0.15  # six a second at a warm server, from all of them
         d.do(ServerList("full", [ServerEntry(f"s{n}", started=995.0 if n < 36 else 0.0) for n in range(60)]))
         for _ in range(20):
             d.now += 0.1
