--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -44,7 +44,8 @@
     def __init__(self, inventory: Inventory) -> None:
         self.inventory = inventory
 
-    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None]) -> Grant:
+    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None],
+              began: Callable[[RelayEnd], None]) -> Grant:
         # The answer is written now, so this is where the list counts: what drains by now is not named any more.
         done(RelayEnd("granted" if self.inventory.usable(server) else "connect_failed"))
         return self
--- /dev/null
+++ b/brackenpulley/bodies/body.py
@@ -0,0 +1,167 @@
+"""One body, from the peer that writes it to the peer that reads it.
+
+| state   | means                                         | next                                                   |
+| ------- | --------------------------------------------- | ------------------------------------------------------ |
+| WAITING | nobody takes it yet; what came is held        | FLOWING at the first `begin`; CUT; DROPPED; ENDED      |
+| FLOWING | a reader takes it while it comes              | ENDED, CUT, DROPPED                                    |
+| ENDED   | all of it is in; the reader may still take    | DROPPED                                                |
+| CUT     | its writer broke off: never whole             | DROPPED                                                |
+| DROPPED | nobody wants it any more: what comes is lost  | none                                                   |
+
+`whole` is ENDED with every byte taken by the reader. A body that is `kept` can be read from its first byte again, by
+another attempt; one that is not has let go of what its reader took."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .shares import Shares
+
+SLICE = 65536  # bytes handed to a reader at a time
+
+
+class State(Enum):
+    WAITING = "waiting"
+    FLOWING = "flowing"
+    ENDED = "ended"
+    CUT = "cut off"
+    DROPPED = "dropped"
+
+
+OPEN = frozenset((State.WAITING, State.FLOWING))  # more may come
+
+
+def _nothing() -> None: ...
+
+
+class Body:
+    """Owned by who makes it, until `drop`; `shares` counts what it holds. Sizes are bytes.
+
+    `changed` is called when there is something new for the reader: bytes, the end, a cut. `eased` is called when the
+    writer may put in more after it had no room. Neither is called from within a call of the same side."""
+
+    __slots__ = ("shares", "length", "state", "size", "kept", "changed", "eased", "_parts", "_gone", "_at", "_index",
+                 "_offset", "_full")
+
+    def __init__(self, shares: Shares, length: int = -1, keep: bool = False) -> None:
+        """`length`: of the whole, where its writer told it, else -1. `keep`: for another attempt, if there is room."""
+        self.shares, self.length, self.kept = shares, length, keep
+        self.state = State.WAITING
+        self.size = 0  # put in so far
+        self.changed: Callable[[], None] = _nothing
+        self.eased: Callable[[], None] = _nothing
+        self._parts: list[bytes] = []  # what is held, in order
+        self._gone = 0  # let go in front of them
+        self._at = 0  # taken by the reader, from the first byte on
+        self._index = self._offset = 0  # where that is in the parts
+        self._full = False  # the writer was told that there is no room
+        shares.begin()
+
+    @property
+    def held(self) -> int:
+        return self.size - self._gone
+
+    @property
+    def ahead(self) -> int:
+        """In, and not taken by the reader."""
+        return self.size - self._at
+
+    @property
+    def coming(self) -> bool:
+        return self.state in OPEN
+
+    def again(self) -> bool:
+        """It can be read from its first byte once more: nothing of it was let go."""
+        return not self._gone and self.state not in (State.CUT, State.DROPPED)
+
+    @property
+    def whole(self) -> bool:
+        return self.state is State.ENDED and not self.ahead
+
+    # The writer's side.
+
+    def space(self) -> int:
+        """How much may be put in now. A body that nobody wants takes everything, and holds nothing."""
+        if self.state is State.DROPPED:
+            return SLICE
+        room = max(0, self.shares.window() - self.ahead)
+        self._full = self._full or not room  # until `eased` is called, whatever is asked in between
+        return room
+
+    def put(self, part: bytes) -> None:
+        """All of it, even past `space`: a parser may give more at once than was asked for."""
+        if self.state is State.DROPPED or not part:
+            return
+        assert self.state in OPEN, self.state
+        self._parts.append(part)
+        self.size += len(part)
+        if self.kept and not self.shares.keep(len(part), self.size):
+            self._forget()
+        self.changed()
+
+    def end(self) -> None:
+        if self.state in OPEN:
+            self.state = State.ENDED
+            self.changed()
+
+    def cut(self) -> None:
+        """The writer broke off; also where all of it is in but not all is wanted any more."""
+        if self.state in OPEN:
+            self.state = State.CUT
+            self.changed()
+
+    # The reader's side.
+
+    def begin(self) -> bool:
+        """Read from the first byte on; False where it is gone."""
+        if not self.again():
+            return False
+        if self.state is State.WAITING:
+            self.state = State.FLOWING
+        self._at = self._index = self._offset = 0
+        return True
+
+    def take(self, most: int = SLICE) -> list[memoryview]:
+        """Slices of what comes next, `most` bytes at most, which then counts as taken."""
+        found: list[memoryview] = []
+        while most > 0 and self._index < len(self._parts):
+            part = memoryview(self._parts[self._index])[self._offset:self._offset + most]
+            found.append(part)
+            most -= len(part)
+            self._at += len(part)
+            self._offset += len(part)
+            if self._offset == len(self._parts[self._index]):
+                self._index, self._offset = self._index + 1, 0
+        if not self.kept:
+            self._let_go()
+        if found and self._full and self.state in OPEN and self.ahead <= self.shares.window() // 2:
+            self._full = False
+            self.eased()
+        return found
+
+    def drop(self) -> None:
+        """Nobody wants it any more; the one place where what it holds is given back."""
+        if self.state is State.DROPPED:
+            return
+        coming, self.state = self.coming, State.DROPPED
+        if self.kept:
+            self.shares.forget(self.held)
+        self.shares.end()
+        self._parts, self._gone, self._at, self.kept = [], self.size, self.size, False
+        self.changed = _nothing
+        if coming:  # what still comes is read and lost
+            self.eased()
+        self.eased = _nothing
+
+    def _forget(self) -> None:
+        """There is no room to keep it: from here on it can be read once only."""
+        self.kept = False
+        self.shares.forget(self.held - len(self._parts[-1]))
+        self._let_go()
+
+    def _let_go(self) -> None:
+        gone, self._parts[:self._index] = sum(map(len, self._parts[:self._index])), []
+        self._gone, self._index = self._gone + gone, 0
--- /dev/null
+++ b/brackenpulley/bodies/shares.py
@@ -0,0 +1,43 @@
+"""One account of the memory for all long bodies, in both directions, and of short answers that are being gathered."""
+
+from __future__ import annotations
+
+LEAST, MOST = 8 << 10, 256 << 10  # bytes that one body may hold ahead of its reader
+KEPT_MOST = 1 << 20  # of one body, for another attempt
+
+
+class Shares:
+    """Rows: `held` (short answers not whole yet), `kept` (clients' bodies, for another attempt) and what flows.
+
+    What flows has no count of bytes: each body may run ahead of its reader by an even share of the row, so their sum
+    is bounded by the row, or by `LEAST` for each where there are very many. `total` is in bytes."""
+
+    __slots__ = ("held_most", "kept_most", "flow_most", "held", "kept", "flows")
+
+    def __init__(self, total: int) -> None:
+        self.held_most, self.kept_most, self.flow_most = total // 2, total // 4, total // 4
+        self.held = self.kept = self.flows = 0
+
+    def window(self) -> int:
+        return min(MOST, max(LEAST, self.flow_most // max(1, self.flows)))
+
+    def begin(self) -> None:
+        self.flows += 1
+
+    def end(self) -> None:
+        self.flows -= 1
+
+    def keep(self, size: int, whole: int) -> bool:
+        """`size` more of a body that is `whole` by now; False, and nothing is counted, where it is not to be kept."""
+        if whole > KEPT_MOST or self.kept + size > self.kept_most:
+            return False
+        self.kept += size
+        return True
+
+    def forget(self, size: int) -> None:
+        self.kept -= size
+
+    def gathered(self, change: int) -> bool:
+        """Bytes of short answers more or less in hand; False where they are too many together."""
+        self.held += change
+        return self.held <= self.held_most
--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -18,17 +18,20 @@
     after: float = 0.0  # s to stay away, with a back-off answer; 0 = no advice
     payload: Any = None  # a served answer as the south side took it in; the core does not look inside
     server: str = ""
+    flows: bool = False  # its body still comes: whether it was served whole is known at the relay's end
 
 
 @dataclass(slots=True)
 class RelayEnd:
-    """How a relay ended, in the module's words for outcomes."""
+    """How a relay ended, in the module's words for outcomes; or, with `ok`, how a long answer began."""
 
     status: str
     payload: Any = None
     used: int = 0
     cost: float = 0.0
     load: list[float] = field(default_factory=list)
+    since: float = 0.0  # when the last byte of a long message was written; 0 = it was not long
+    last: bool = False  # it failed by our own limits, and would do so again
 
 
 @dataclass(slots=True)
@@ -57,8 +60,11 @@
 
 
 class South(Protocol):
-    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None]) -> Relay:
-        """Begin one relay. `done` is called once, unless it is dropped; it may be called before this returns."""
+    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None],
+              began: Callable[[RelayEnd], None]) -> Relay:
+        """Begin one relay. `done` is called once, unless it is dropped; it may be called before this returns.
+
+        Where the answer is long, `began` is called once before that, when the first of it is there."""
 
 
 class ExchangeError(RuntimeError):
@@ -66,13 +72,14 @@
 
 
 class Exchange:
-    __slots__ = ("message", "until", "final", "gone", "server", "attempt", "sent", "timer", "asking",
+    __slots__ = ("message", "until", "final", "gone", "flowing", "server", "attempt", "sent", "timer", "asking",
                  "_reply", "_south", "_relay")
 
     def __init__(self, message: Message, until: float, reply: Callable[[Answer], None], south: South) -> None:
         self.message, self.until = message, until
         self.final: Answer | None = None
         self.gone = False
+        self.flowing = False  # the final answer goes out while it still comes
         self.server, self.attempt, self.sent = "", -1, 0.0
         self._reply, self._south = reply, south
         self._relay: Relay | None = None
@@ -91,7 +98,8 @@
     def over(self) -> bool:
         return self.gone or self.final is not None
 
-    def relay(self, server: str, now: float, left: float, done: Callable[[int, RelayEnd], None]) -> None:
+    def relay(self, server: str, now: float, left: float, done: Callable[[int, RelayEnd], None],
+              began: Callable[[int, RelayEnd], None]) -> None:
         if self.over or self.out:
             raise ExchangeError(f"{self.message.id}: a relay while {'over' if self.over else 'another is out'}")
         self.server, self.attempt, self.sent = server, self.attempt + 1, now
@@ -102,13 +110,17 @@
                 self._relay = None
                 done(number, end)
 
-        relay = self._south.start(self.message, server, left, ended)
+        def begun(end: RelayEnd) -> None:
+            if self.out and self.attempt == number:
+                began(number, end)
+
+        relay = self._south.start(self.message, server, left, ended, begun)
         if self.out and self.attempt == number:
             self._relay = relay
 
     def settle(self) -> None:
         """The relay's end has been taken in; another may go out."""
-        self.server = ""
+        self.server, self.flowing = "", False
 
     def drop(self) -> bool:
         """Give up the relay that is out: its connection is closed and its end is no longer heard."""
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import Any, Protocol
 
 from ..metrics import OUTCOMES, Metrics
@@ -116,8 +117,9 @@
         self.metrics.add("messages")
         metrics, cls = self.metrics, message.cls
 
-        def counted(answer: Answer) -> None:  # the final answer, counted once, here
-            metrics.of(OUTCOMES[answer.kind], cls)
+        def counted(answer: Answer) -> None:  # the final answer, counted once, here or where it stops flowing
+            if not answer.flows:
+                metrics.of(OUTCOMES[answer.kind], cls)
             reply(answer)
 
         final = counted
@@ -126,7 +128,7 @@
                 ledger.answer(counted, answer)
             final = stored
 
-        exchange = Exchange(message, self.clock() + message.left, final, south)
+        exchange = Exchange(message, inf if message.coming else self.clock() + message.left, final, south)
         self.held[message.id] = exchange
         if not opened:
             self.metrics.add("refused_unopened")
@@ -151,8 +153,9 @@
     def _decide(self, exchange: Exchange) -> None:
         exchange.asking = None
         m = exchange.message
-        left = max(0.0, exchange.until - self.clock())
+        left = min(m.left, max(0.0, exchange.until - self.clock()))
         event = i.Request(m.id, m.cls, m.plan, m.customer, left, m.units, m.spread, m.first, m.retry)
+        event.coming = exchange.until == inf
         if self.plans is not None:  # it may have waited for a verdict over the instant of a change
             event.plan, event.revision = m.plan, m.revision = self.plans.plan_of(m.customer, m.told)
         if self.holds is not None and m.reservation:
@@ -171,8 +174,21 @@
         else:
             self._finish(exchange, Answer("failed", 503))
 
+    def whole(self, exchange: Exchange) -> None:
+        """The last byte of its long body came: from here on its time runs."""
+        if exchange.over:
+            return
+        exchange.until = self.clock() + exchange.message.left
+        if exchange.out:
+            exchange.timer = self.timers.call_at(exchange.until, lambda: self._expired(exchange))
+        self._put(i.Whole(exchange.message.id))
+
     def leave(self, exchange: Exchange) -> None:
         """The client is gone."""
+        if exchange.flowing:  # nobody takes the rest: that speaks against no server
+            exchange.drop()
+            exchange.gone = True
+            self._ended(exchange, exchange.attempt, RelayEnd("cancelled"))
         if exchange.over:
             return
         self.metrics.add("gone")
@@ -241,19 +257,46 @@
         exchange = self.held[a.id]
         now = self.clock()
         until = min(exchange.until, now + a.timeout) if a.timeout > 0 else exchange.until
-        exchange.timer = self.timers.call_at(until, lambda: self._expired(exchange))
+        if until < inf:
+            exchange.timer = self.timers.call_at(until, lambda: self._expired(exchange))
         self.metrics.at("relays", a.server)
         if self.holds is not None and exchange.attempt < 0 and exchange.message.reservation:
             self.holds.used(exchange.message)
-        exchange.relay(a.server, now, until - now, lambda n, end: self._ended(exchange, n, end))
+        exchange.relay(a.server, now, min(until - now, exchange.message.left),
+                       lambda n, end: self._ended(exchange, n, end), lambda n, end: self._began(exchange, n, end))
+
+    def _began(self, exchange: Exchange, attempt: int, end: RelayEnd) -> None:
+        """A long answer begins to flow: it is the final one from here on, and no time-out ends it any more."""
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        if exchange.over:
+            exchange.drop()
+            self._ended(exchange, attempt, RelayEnd("cancelled"))
+            return
+        self.metrics.add("served")
+        self.metrics.add("flowed")
+        exchange.flowing = True
+        exchange.answer(Answer("served", 200, 0.0, end.payload, exchange.server, flows=True))
+        self._put(i.Started(exchange.message.id, exchange.server, attempt,
+                            self.clock() - (end.since or exchange.sent), work_done=True))
+
+    def _flowed(self, exchange: Exchange, status: str) -> None:
+        if not exchange.gone:
+            self.metrics.of("ok" if status == "ok" else "errors", exchange.message.cls)
+        if status != "ok":
+            self.metrics.add("cut_off")
 
     def _ended(self, exchange: Exchange, attempt: int, end: RelayEnd) -> None:
         """A relay is over: a served one goes to the client by itself, and the module hears of each."""
         now, m = self.clock(), exchange.message
-        exchange.timer.cancel()
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+            exchange.timer = None
         self.metrics.at("relay_" + end.status, exchange.server)
-        event = i.Outcome(m.id, exchange.server, attempt, end.status, now - exchange.sent, exchange.over,
-                          end.used, end.cost, end.load)
+        event = i.Outcome(m.id, exchange.server, attempt, end.status, now - (end.since or exchange.sent),
+                          exchange.over, end.used, end.cost, end.load, last=end.last or not m.again())
+        if exchange.flowing:
+            self._flowed(exchange, end.status)
         if end.status == "ok" and not exchange.over:
             event.closed = True
             self.metrics.add("served")
--- a/brackenpulley/core/message.py
+++ b/brackenpulley/core/message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Mapping
+from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
@@ -21,6 +21,10 @@
     """The message is malformed; the text names the header."""
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Message:
     id: str
@@ -36,6 +40,8 @@
     reservation: str = ""  # whose units pay for it
     revision: int = 0  # of the plan book, when it was decided on
     told: str = ""  # the plan as the client named it
+    coming: bool = False  # its body is long and still comes: its time begins with the last byte
+    again: Callable[[], bool] = _always  # whether its body can be sent once more
 
 
 def duration(text: str, name: str = "x-timeout") -> float:
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -6,21 +6,32 @@
 
 import httptools
 
+from ..bodies.body import Body
 from ..core.exchange import RelayEnd
 from .http import BODY, HEAD, HOP
 
 INTERIM = 16  # 1xx answers in front of one answer at most
+NOT_MEANT = 1 << 30  # a told length over this is a spoilt one, not a long answer
+EARLY = 16384  # bytes of a body that is told to be long, until it counts as such: what is spoilt mostly ends before
 
 
 class Malformed(Exception):
     """No answer can be made of these bytes; what was asked may have run."""
 
 
+class TooMuch(Malformed):
+    """The answer may be good, but is more than we can take: that speaks against no server."""
+
+
 class Reply:
-    """Bytes of one answer; `whole` once it is all there. What comes behind it is never looked into."""
+    """Bytes of one answer; `whole` once it is all there. What comes behind it is never looked into.
 
-    def __init__(self, most: int = BODY) -> None:
-        self.most = most  # bytes of the body
+    A body of up to `held` bytes is held until then. Of a longer 200 the rest goes into `stream`, from the moment that
+    it is asked to `flow`; the body of another status is not wanted by anybody, and is not held past there."""
+
+    def __init__(self, most: int = BODY, held: int = BODY, bodiless: bool = False) -> None:
+        self.most, self._held, self._bodiless = most, held, bodiless  # bytes; the message was a HEAD
+        self.stream: Body | None = None
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
         self.whole = self.headed = self.keep = self.surplus = False
@@ -70,11 +81,11 @@
             raise Malformed
         self.headed, self.status, self._chunked = True, status, bool(codings)
         if lengths:
-            self._length = int(lengths[0]) if lengths[0].strip().isdigit() else self.most + 1
+            self._length = int(lengths[0]) if lengths[0].strip().isdigit() else NOT_MEANT + 1
             if self._length > self.most:  # known at once: nothing of it needs to be waited for
-                raise Malformed
-        if status in (204, 304):
-            self._length = 0
+                raise Malformed if self._length > NOT_MEANT else TooMuch
+        if status in (204, 304) or self._bodiless:
+            self._length, self._chunked = 0, False
         self.keep = (bool(codings) or self._length >= 0) and not any(
             n == b"connection" and b"close" in v.lower() for n, v in self.headers)
 
@@ -102,11 +113,43 @@
     def _add(self, part: bytes) -> None:
         self.size += len(part)
         if self.size > self.most:
-            raise Malformed
-        self._parts.append(part)
+            raise TooMuch
+        if self.stream is not None:
+            self.stream.put(part)
+        elif self.status == 200 or self.size <= self._held:
+            self._parts.append(part)
+        else:  # enough to know that it failed; what it goes on to say is wanted by nobody
+            self._complete()
+            self._more()
+
+    @property
+    def long(self) -> bool:
+        """It is plain that it is longer than what is held whole, and it is the answer that was wanted."""
+        told = self._length > self._held and self.size >= EARLY
+        return self.status == 200 and not self.whole and (told or self.size > self._held)
+
+    @property
+    def length(self) -> int:
+        """Of the body, where it is told, else -1."""
+        return self._length
+
+    @property
+    def gathered(self) -> int:
+        """Bytes of the body that are held here."""
+        return 0 if self.stream is not None else self.size
+
+    def flow(self, stream: Body) -> None:
+        """From now on the body goes there, beginning with what is held."""
+        for part in self._parts:
+            stream.put(part)
+        self.stream, self._parts = stream, []
 
     def _complete(self) -> None:
+        if self.whole:
+            return
         self.whole, self.body, self._parts = True, b"".join(self._parts), []
+        if self.stream is not None:
+            self.stream.end()
 
     @property
     def begun(self) -> bool:
@@ -128,7 +171,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:  # a trailer
             return
-        self.headers.append((name.lower(), value))
+        self.headers.append((name.lower(), value.strip(b" \t")))  # white space round a value is no part of it
         if len(self.headers) > 100:
             raise Malformed
 
@@ -158,7 +201,7 @@
         elif name not in HOP:
             passed.append((name, value))
     if reply.status == 200:
-        end.status, end.payload = "ok", (reply.body, passed)
+        end.status, end.payload = "ok", (reply.stream or reply.body, passed)
     elif reply.status in (503, 504) and not_run:
         end.status = "full"
     return end
--- a/brackenpulley/net/http.py
+++ b/brackenpulley/net/http.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 
-BODY, HEAD = 65536, 16384  # most bytes of a body, and of all headers
+from ..bodies.body import Body
+
+BODY, HEAD = 65536, 16384  # most bytes of a body that is taken whole, and of all headers
+LONGEST = 32 << 20  # bytes of a longer one, unless the operator's file says otherwise
 HOP = frozenset((b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"te", b"trailer", b"upgrade",
                  b"proxy-connection", b"host", b"expect", b"x-timeout"))
 KEPT = frozenset((b"x-request-id", b"idempotency-key"))  # these pass through whatever else is said
@@ -18,3 +21,5 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    stream: Body | None = None  # in place of the body where that is long: it may still be coming
+    old: bool = False  # asked in HTTP/1.0: its answer cannot be chunked
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -3,24 +3,32 @@
 from __future__ import annotations
 
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from ..address import Address
+from ..bodies.body import Body, State
+from ..bodies.pace import Pace
+from ..bodies.shares import Shares
 from ..core.exchange import Answer, Exchange, South
 from ..core.ingress import Ingress
 from ..core.message import MessageError
 from ..metrics import Metrics
 from ..policy.drain import Drain
 from . import sockets
+from .http import LONGEST
 from .loop import READ, WRITE, Loop
-from .pool import Pool
-from .requests import Fault, Reader, encode, message
+from .pool import SIZE, Pool
+from .requests import Fault, Reader, begin, encode, message
 
 ACCEPTS_A_TURN = 64
-PARTIAL = 2.0  # s from connecting, or from a message's first byte, until the message is whole
 UNTAKEN = 10.0  # s for an answer to be taken
 UNTAKEN_AT_END = 3.0  # the same after SIGTERM, so that no client keeps the program from ending in time
+LINGER = 2.0  # s for which what still comes is read and lost, so that an answer before its end reaches the client
+LINGER_MOST = 64 << 20  # bytes of that
+PIPELINED = 8  # messages that may wait behind the one in hand; more at once are a crowd, and get errors
+SILENT = 2.0  # s from connecting, for a client that says nothing at all
 IDLE = 120.0  # s after which a connection without a message is closed
 SWEEP = 0.25
 NEW = 0.05  # s in which a message is on its way for sure; after that a stranger is the first to make room
@@ -28,34 +36,56 @@
 
 
 class Client:
-    """One connection of the north side; owned by North, closed in North.close alone."""
+    """One connection of the north side; owned by North, closed in North.close alone.
+
+    | it is      | `busy` | what else                                           | reads                      |
+    | ---------- | ------ | --------------------------------------------------- | -------------------------- |
+    | unused     | no     | nothing partial                                     | yes                        |
+    | being told | no     | the reader holds a part of a message                | yes                        |
+    | in hand    | yes    | `exchange`                                          | unless more messages wait  |
+    | taking     | yes    | the same, and `upload`: its long body               | while the body has room    |
+    | answered   | yes    | `out`, or `flow`: its long answer                   | as in hand                 |
+    | shedding   | yes    | `shed_by`: answered before the end of what it sends | yes, and all of it is lost |
+    | ending     | yes    | no `keep`: closed once its answer is out            | no, or shedding            |
+    """
 
     __slots__ = ("sock", "reader", "exchange", "busy", "keep", "out", "since", "reading", "closing", "serial",
-                 "crowded")
+                 "crowded", "pace", "upload", "flow", "chunked", "old", "woken", "shed_by", "shed", "raw")
 
-    def __init__(self, sock: socket.socket, now: float) -> None:
-        self.sock, self.reader = sock, Reader()
+    def __init__(self, sock: socket.socket, now: float, reader: Reader) -> None:
+        self.sock, self.reader = sock, reader
         self.exchange: Exchange | None = None
         self.busy = False  # a message of it is in hand, its answer not yet written
         self.keep = True
-        self.out: bytes | memoryview = b""  # of the answer, what the socket has not taken yet
-        self.since = now
+        self.out: deque[bytes | memoryview] = deque()  # of the answer, what the socket has not taken yet
+        self.since = now  # it was unused from then on, or its answer moved
+        self.pace = Pace(now)
         self.reading = True
         self.closing = False
         self.serial = 0
-        self.crowded = False  # the next message came before the one in front of it was answered
+        self.crowded = False  # too many messages came at once
+        self.upload: Body | None = None  # of the message in hand
+        self.flow: Body | None = None  # of its answer
+        self.chunked = False  # how that is framed
+        self.old = False  # the message in hand came in HTTP/1.0
+        self.woken = False  # a write is on its way
+        self.shed_by = 0.0  # until when what still comes is read and lost; 0 = it is not
+        self.shed = 0  # bytes of that
+        self.raw = False  # what comes is not parsed any more
 
 
 class North:
     def __init__(self, loop: Loop, pool: Pool, ingress: Ingress, south: South, metrics: Metrics, log: Any,
-                 most: int, ready: Callable[[], bool], drain: Drain) -> None:
+                 most: int, ready: Callable[[], bool], drain: Drain, shares: Shares, longest: int = LONGEST) -> None:
         self.loop, self.pool, self.ingress, self.south = loop, pool, ingress, south
         self.metrics, self.log, self.most, self.ready = metrics, log, most, ready
         self.clients: dict[Client, None] = {}  # the longest unused first
         self.strangers: dict[Client, None] = {}  # of these, those that have not sent a whole message yet; oldest first
         self.listener: socket.socket | None = None
         self.accepting = False
-        self.drain = drain
+        self.drain, self.shares, self.longest = drain, shares, longest
+        self.shedding: dict[Client, None] = {}  # these make room before all others; oldest first
+        self.flowing = 0  # clients with a long answer on its way
 
     @property
     def draining(self) -> bool:
@@ -96,7 +126,7 @@
                         self._pause()
                         return
                 continue
-            client = Client(sock, self.loop.clock())
+            client = Client(sock, self.loop.clock(), Reader(self.shares, self.longest))
             self.clients[client] = self.strangers[client] = None
             self.metrics.add("accepted")
             self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
@@ -119,6 +149,9 @@
     def _evict(self) -> bool:
         """Close the oldest stranger that sends no whole message, or the longest unused that has nothing to say."""
         old = self.loop.clock() - NEW
+        for client in self.shedding:  # these have had their answer
+            self.close(client)
+            return True
         for client in self.strangers:  # a crowd of them must not shut out those who come to ask
             if client.since > old:
                 break
@@ -143,12 +176,24 @@
         if events & READ and client.reading and client in self.clients:
             self._readable(client)
 
+    def _room(self, client: Client) -> int:
+        """Bytes that may be read now: a long body is taken no faster than its server takes it."""
+        coming = client.reader.coming
+        if coming is None or client.raw:
+            return SIZE
+        if not (room := coming.space()):
+            client.pace.hold(self.loop.clock(), True)
+        return min(SIZE, room)
+
     def _readable(self, client: Client) -> None:
+        if not (room := self._room(client)):
+            self._interest(client)
+            return
         buffer, partial = self.pool.take(), client.reader.partial
         fault = 0
         try:
-            count = client.sock.recv_into(buffer)
-            if count:
+            count = client.sock.recv_into(buffer, room)
+            if count and not client.raw:
                 client.reader.feed(memoryview(buffer)[:count])
         except BlockingIOError:
             return
@@ -158,40 +203,91 @@
             fault = error.status
         finally:
             self.pool.give(buffer)
+        if not count:
+            self.close(client)
+            return
+        if client.shed_by:
+            client.shed += count
+            if client.shed > LINGER_MOST or fault:
+                self.close(client)
+                return
         if fault:
             self._fault(client, fault)
             return
-        if not count:
-            self.close(client)
+        if client.raw:
             return
-        if client.reader.waits_to_continue and not client.out and not client.busy:
-            client.reader.waits_to_continue = False
-            self._write(client, b"HTTP/1.1 100 Continue\r\n\r\n")
-        if client.serial and (not client.reader.partial or not partial):
+        reader = client.reader
+        self._continue(client)
+        if client.serial and (not reader.partial or not partial):
             # A message has its time from its first byte, the first one from connecting, however it drips in.
             client.since = self.loop.clock()
+            client.pace.begin(client.since)
+        if reader.partial and reader.headed:
+            client.pace.body(self.loop.clock())
+        if client.upload is not None and reader.coming is not client.upload:
+            self._taken(client)
         if not client.busy:
             self._next(client)
-        if client.reader.whole and client in self.clients:
+        if client in self.clients and (reader.whole or reader.coming is not None):
             self._interest(client)
 
+    def _continue(self, client: Client) -> None:
+        """The body of the next message is asked for, once the one before it has its answer."""
+        if client.reader.waits_to_continue and not client.out and not client.busy:
+            client.reader.waits_to_continue = False
+            self._write(client, b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _taken(self, client: Client) -> None:
+        """The long body of the message in hand is all there."""
+        if client.exchange is not None:
+            if client.exchange.message.coming:
+                client.exchange.message.coming = False
+                self.ingress.whole(client.exchange)
+            return
+        client.upload = None  # it was let go when its message was answered
+        if client.shed_by:
+            client.shed_by = 0.0
+            self.shedding.pop(client, None)
+            self._done(client)
+
     def _fault(self, client: Client, status: int) -> None:
         self.metrics.add("malformed")
+        # The end of what has an error in its body cannot be told any more, and it may go on for long.
+        client.raw = client.reader.headed and not client.busy
         client.reading, client.keep = False, False
-        if client.busy:  # the answer to the message before it goes first, then the connection ends
+        if client.upload is not None and client.exchange is not None and client.exchange.message.coming:
+            self._give_up(client, status)
+        elif client.busy:  # the answer to the message before it goes first, then the connection ends
             client.closing = True
             self._interest(client)
         else:
             client.busy = True
             self._reply(client, status)
 
+    def _give_up(self, client: Client, status: int) -> None:
+        """The body of the message in hand will never be whole: nothing has run, and nothing will."""
+        exchange, client.exchange = client.exchange, None
+        if exchange is not None:
+            self.ingress.leave(exchange)
+        self._reply(client, status)
+
+    def _let_go(self, client: Client) -> None:
+        """The one place where the long body of the message in hand is given back."""
+        if client.upload is not None:
+            client.upload.drop()
+            if client.reader.coming is not client.upload:
+                client.upload = None
+
     def _next(self, client: Client) -> None:
         """One message of this connection; the one before it has been answered."""
         if client not in self.clients or client.busy or not client.reader.whole:
             return
         payload, keep = client.reader.whole.popleft()
-        crowded, client.crowded = client.crowded, bool(client.reader.whole)
-        client.busy = True
+        client.crowded = client.crowded or len(client.reader.whole) > PIPELINED
+        client.busy, client.old = True, payload.old
+        if (stream := payload.stream) is not None:
+            client.upload = stream
+            stream.eased = lambda: self._eased(client)
         client.serial += 1
         self.strangers.pop(client, None)
         client.keep = client.keep and keep
@@ -202,9 +298,11 @@
             return
         serial = client.serial
         try:
-            if crowded:
-                raise MessageError("one message at a time on a connection")
+            if client.crowded:
+                raise MessageError(f"more than {PIPELINED} messages at a time on a connection")
             asked = message(payload)
+            if stream is not None:
+                asked.coming, asked.again = stream.coming, stream.again
             exchange = self.ingress.take(asked, lambda answer: self._answer(client, serial, answer), self.south,
                                          self.drain.tries(self.ready))
         except MessageError as error:
@@ -217,54 +315,143 @@
         elif client.busy and client.serial == serial and not exchange.over:
             client.exchange = exchange
 
+    def _eased(self, client: Client) -> None:
+        """There is room in its long body again, or nobody wants it any more."""
+        if client in self.clients:
+            client.pace.hold(self.loop.clock(), False)
+            self._interest(client)
+
     def _answer(self, client: Client, serial: int, answer: Answer) -> None:
-        if client in self.clients and client.busy and client.serial == serial:
-            client.exchange = None
-            body, headers = answer.payload or (b"", None)
-            self._reply(client, answer.status, body, answer.after, headers)
+        if not (client in self.clients and client.busy and client.serial == serial):
+            if answer.flows:
+                answer.payload[0].drop()
+            return
+        if answer.flows:
+            self._flow(client, answer.status, *answer.payload)
+            return
+        body, headers = answer.payload or (b"", None)
+        client.exchange = None
+        self._reply(client, answer.status, body, answer.after, headers)
+
+    def _flow(self, client: Client, status: int, body: Body, headers: list[tuple[bytes, bytes]]) -> None:
+        """A long answer: its head now, the rest as it comes and as the client takes it."""
+        self._let_go(client)
+        client.flow, client.chunked = body, body.length < 0 and not client.old
+        self.flowing += 1
+        framing = f"Content-Length: {body.length}\r\n" if body.length >= 0 else ""
+        if client.chunked:
+            framing = "Transfer-Encoding: chunked\r\n"
+        client.keep = client.keep and not self.draining and bool(framing)
+        client.since = self.loop.clock()
+
+        def wake() -> None:  # never from within the read that brought it
+            if not client.woken and client.flow is body:
+                client.woken = True
+                self.loop.call_soon(lambda: self._woken(client, body))
+        body.begin()
+        body.changed = wake
+        self._write(client, begin(status, framing, client.keep, 0.0, headers))
+
+    def _woken(self, client: Client, body: Body) -> None:
+        client.woken = False
+        if client.flow is body and client in self.clients:
+            self._flush(client)
+
+    def _refill(self, client: Client) -> bool:
+        """The next slice of a long answer; False where there is none, and the client's connection may be closed."""
+        body = client.flow
+        assert body is not None
+        slices = body.take()
+        if slices and client.chunked:
+            client.out.append(b"%x\r\n" % sum(map(len, slices)))
+        client.out.extend(slices)
+        if slices and client.chunked:
+            client.out.append(b"\r\n")
+        if body.whole:
+            if client.chunked:
+                client.out.append(b"0\r\n\r\n")
+            self._flowed(client)
+            return bool(client.out)
+        if not slices and body.state is State.CUT:
+            if not client.chunked and body.length < 0:  # it ends with its connection: only a reset tells that it broke
+                sockets.reset(client.sock)
+            self.close(client)
+            return False
+        return bool(slices)
+
+    def _flowed(self, client: Client) -> None:
+        """The one place where a long answer is given back."""
+        if client.flow is not None:
+            body, client.flow, client.exchange = client.flow, None, None
+            body.drop()
+            self.flowing -= 1
 
     def _reply(self, client: Client, status: int, body: bytes = b"", after: float = 0.0,
                headers: list[tuple[bytes, bytes]] | None = None) -> None:
+        self._let_go(client)
         client.keep = client.keep and not self.draining
         client.since = self.loop.clock()
         self._write(client, encode(status, body, client.keep, after, headers))
 
     def _write(self, client: Client, data: bytes) -> None:
-        client.out = data if not client.out else bytes(client.out) + data
+        client.out.append(data)
         self._flush(client)
 
     def _flush(self, client: Client) -> None:
-        if client.out:
+        if client.out or client.flow is not None:
+            waiting = len(client.out)
             try:
-                sent = client.sock.send(client.out)
-            except BlockingIOError:
-                sent = 0
+                while sockets.write(client.sock, client.out) and client.flow is not None and self._refill(client):
+                    client.since = self.loop.clock()
             except OSError:
                 self.close(client)
                 return
-            client.out = memoryview(client.out)[sent:] if sent < len(client.out) else b""
-        if client.out:
-            self._interest(client)
+            if len(client.out) < waiting:
+                client.since = self.loop.clock()
+        if client not in self.clients:
             return
-        if client.busy and client.exchange is None:
+        if client.out or client.flow is not None:
+            self._interest(client)
+        elif client.busy and client.exchange is None:
             self._done(client)
         else:
             self._interest(client)
 
     def _done(self, client: Client) -> None:
         """The answer is out whole."""
+        if client.shed_by:
+            return
+        if client.raw or client.upload is not None and client.reader.coming is client.upload:
+            self._shed(client)
+            return
+        client.upload = None
         client.busy, client.since = False, self.loop.clock()
         if not client.keep or client.closing:
             self.close(client)
         elif client.reader.whole:
             self.loop.call_soon(lambda: self._next(client))
         else:
+            self._continue(client)
             self._interest(client)
 
+    def _shed(self, client: Client) -> None:
+        """Answered before the end of what it sends: the rest is read and lost, else a reset would take the answer."""
+        client.shed_by = self.loop.clock() + LINGER
+        self.shedding[client] = None
+        if not client.keep or client.raw:
+            client.raw = True
+            sockets.finish(client.sock)
+        client.reading = True
+        self._interest(client)
+
+    def _wants(self, client: Client) -> bool:
+        if client.raw or client.shed_by:
+            return True
+        return not (client.busy and client.reader.whole) and bool(self._room(client))
+
     def _interest(self, client: Client) -> None:
         """Read unless messages wait that came too early; write while something waits to be written."""
-        wanted = (READ if client.reading and not (client.busy and client.reader.whole) else 0) | (
-            WRITE if client.out else 0)
+        wanted = (READ if client.reading and self._wants(client) else 0) | (WRITE if client.out else 0)
         self.loop.want(client.sock, wanted, lambda events: self._event(client, events))
 
     def close(self, client: Client) -> None:
@@ -273,13 +460,16 @@
             return
         del self.clients[client]
         self.strangers.pop(client, None)
+        self.shedding.pop(client, None)
         self.loop.want(client.sock, 0, lambda events: None)
         client.sock.close()
         self.metrics.add("closed")
         if client.exchange is not None:
             exchange, client.exchange = client.exchange, None
             self.ingress.leave(exchange)
+        self._flowed(client)
         client.reader.close()
+        self._let_go(client)
         if len(self.clients) < self.most:
             self._accept_on()
 
@@ -289,15 +479,22 @@
         untaken = UNTAKEN_AT_END if self.draining else UNTAKEN
         for client in list(self.clients):
             still = now - client.since
-            if client.out:
+            if client.shed_by:
+                if now > client.shed_by:
+                    self.close(client)
+            elif client.out:
                 if still > untaken:
                     self.close(client)
-            elif not client.busy and client.reader.partial and still > PARTIAL:
+            elif not client.busy and client.reader.partial and client.pace.stands(now, client.reader.size):
                 client.busy = True
                 client.keep = client.reading = False
                 self._reply(client, 408)
+            elif client.busy and client.exchange is not None and client.exchange.message.coming and (
+                    client.pace.stands(now, client.reader.size)):
+                client.keep = False
+                self._give_up(client, 408)
             elif not client.busy and not client.reader.partial and not self._spoke(client) and (
-                    self.draining or still > (IDLE if client.serial else PARTIAL)):
+                    self.draining or still > (IDLE if client.serial else SILENT)):
                 self.close(client)
         if self.listener is not None or self.clients:
             self.loop.call_in(SWEEP, self._sweep)
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -6,8 +6,10 @@
 
 import httptools
 
+from ..bodies.body import Body
+from ..bodies.shares import Shares
 from ..core.message import CONTROL, Message, MessageError, decode
-from .http import BODY, HEAD, HOP, KEPT, Payload
+from .http import BODY, HEAD, HOP, KEPT, LONGEST, Payload
 
 TARGET = 8192  # most bytes of a message's target
 WIRE = 8 * BODY  # and of all it takes on the wire, however it is cut into chunks
@@ -27,21 +29,27 @@
 
 
 class Reader:
-    """Bytes of one connection to whole messages; every part is bounded."""
+    """Bytes of one connection to messages; every part is bounded.
 
-    def __init__(self) -> None:
+    A message stands in `whole` once it is there, or, where its body is longer than `BODY` and there are `shares` for
+    it, once it is plain that it is; its body then comes through its `stream`, which is also `coming` until its end."""
+
+    def __init__(self, shares: Shares | None = None, longest: int = LONGEST) -> None:
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.whole: deque[tuple[Payload, bool]] = deque()  # and whether the connection is kept after it
+        self.coming: Body | None = None
         self.waits_to_continue = False
+        self._shares, self._longest = shares, longest if shares is not None else BODY
         self._clear()
 
     def _clear(self) -> None:
-        self.partial = False
+        self.partial = self.headed = False
+        self.size = 0  # of the body so far
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._parts: list[bytes] = []
-        self._size = self._fed = 0
-        self._headed = False
+        self._head = self._fed = 0
+        self._length = -1  # of the body, where it is told
 
     def feed(self, data: memoryview) -> None:
         """Raises Fault. What came whole before the fault stands in `whole`."""
@@ -60,13 +68,19 @@
             # httptools keeps an unfinished header or trailer to itself, so the bytes fed are counted, but for a piece
             # that also holds the end of the message before: most of it may be that one's body.
             self._fed += len(data)
-            if self._fed > (WIRE if self._headed else HEAD):
-                raise Fault(413 if self._headed else 431)
+            if self._fed > (WIRE if self.headed else HEAD):
+                raise Fault(413 if self.headed else 431)
 
     def close(self) -> None:
         """The parser holds this object: together they would wait for the garbage collector."""
-        self.whole.clear()
         self._parser = None
+        if self.coming is not None:
+            self.coming.cut()
+            self.coming = None
+        for payload, _ in self.whole:
+            if payload.stream is not None:
+                payload.stream.drop()
+        self.whole.clear()
 
     def on_message_begin(self) -> None:
         self._clear()
@@ -78,36 +92,60 @@
             raise Fault(431)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._headed:  # a trailer: it must not pass for a header
+        if self.headed:  # a trailer: it must not pass for a header
             return
-        self._size += len(name) + len(value)
-        if self._size > HEAD:
+        self._head += len(name) + len(value)
+        if self._head > HEAD:
             raise Fault(431)
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value.strip(b" \t")))  # white space round a value is no part of it
 
     def on_headers_complete(self) -> None:
-        self._headed, self._size = True, 0
+        self.headed = True
         named = [name for name, _ in self._headers]
         lengths, codings = named.count(b"content-length"), named.count(b"transfer-encoding")
         if lengths + codings > 1:  # two framings may hide a message in a body; nothing of it is passed on
             raise Fault(400)
         for name, value in self._headers:
-            if name == b"content-length" and int(value) > BODY:
-                raise Fault(413)
+            if name == b"content-length" and (length := int(value)) > 0:
+                self._length = length
+                if length > self._longest:
+                    raise Fault(413)
             if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
                 raise Fault(400)
             if name == b"expect":
                 self.waits_to_continue = True
 
     def on_body(self, part: bytes) -> None:
-        self._size += len(part)
-        if self._size > BODY:
+        self.size += len(part)
+        if self.size > self._longest:
             raise Fault(413)
+        if self.coming is not None:
+            self._fed = 0  # what is counted is what comes between bytes of the body: extensions, trailers
+            self.coming.put(part)
+            return
         self._parts.append(part)
+        if self.size > BODY:
+            assert self._shares is not None and self._parser is not None
+            self.coming = Body(self._shares, self._length, keep=True)
+            for held in self._parts:
+                self.coming.put(held)
+            self._parts = []
+            found = Payload(self._parser.get_method(), self._target, self._headers, b"", self.coming, self._old())
+            self.whole.append((found, self._parser.should_keep_alive()))
+            self.waits_to_continue = False
+
+    def _old(self) -> bool:
+        assert self._parser is not None
+        return bool(self._parser.get_http_version() == "1.0")
 
     def on_message_complete(self) -> None:
         assert self._parser is not None
-        found = Payload(self._parser.get_method(), self._target, self._headers, b"".join(self._parts))
+        if self.coming is not None:
+            body, self.coming = self.coming, None
+            self._clear()
+            body.end()
+            return
+        found = Payload(self._parser.get_method(), self._target, self._headers, b"".join(self._parts), old=self._old())
         self.whole.append((found, self._parser.should_keep_alive()))
         self.waits_to_continue = False
         self._clear()
@@ -134,7 +172,13 @@
 
 def encode(status: int, body: bytes, keep: bool, after: float = 0.0, headers: list[tuple[bytes, bytes]] | None = None,
            ) -> bytes:
-    lines = [f"HTTP/1.1 {status} {REASON.get(status, 'Answer')}\r\nContent-Length: {len(body)}\r\n"]
+    return begin(status, f"Content-Length: {len(body)}\r\n", keep, after, headers) + body
+
+
+def begin(status: int, framing: str, keep: bool, after: float = 0.0, headers: list[tuple[bytes, bytes]] | None = None,
+          ) -> bytes:
+    """The head of an answer; `framing` is the line that says how its body ends, or none."""
+    lines = [f"HTTP/1.1 {status} {REASON.get(status, 'Answer')}\r\n{framing}"]
     if after > 0:
         lines.append(f"Retry-After: {after:.3f}\r\n")
     if not keep:
@@ -142,4 +186,4 @@
     head = "".join(lines).encode()
     for name, value in headers or ():
         head += name + b": " + value + b"\r\n"
-    return head + b"\r\n" + body
+    return head + b"\r\n"
--- a/brackenpulley/net/sockets.py
+++ b/brackenpulley/net/sockets.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import socket
+import struct
+from collections import deque
+from itertools import islice
 
 from ..address import Address
 
+AT_ONCE = 64  # buffers that one call writes
+
 
 def _new(at: Address) -> socket.socket:
     sock = socket.socket(socket.AF_INET6 if ":" in at[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -59,5 +65,32 @@
         return b""
 
 
+def write(sock: socket.socket, buffers: deque[bytes | memoryview]) -> bool:
+    """As much as the socket takes now, and whether that was all. Raises OSError where it has ended."""
+    while buffers:
+        try:
+            # Framing and what it frames leave in one call, so that no small segment goes out by itself.
+            sent = sock.send(buffers[0]) if len(buffers) == 1 else sock.sendmsg(list(islice(buffers, AT_ONCE)))
+        except BlockingIOError:
+            return False
+        while buffers and sent >= len(buffers[0]):
+            sent -= len(buffers.popleft())
+        if sent:
+            buffers[0] = memoryview(buffers[0])[sent:]
+    return True
+
+
+def finish(sock: socket.socket) -> None:
+    """Nothing more will be written; what the other side still sends can be read."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
+
+
+def reset(sock: socket.socket) -> None:
+    """Its close will be a reset, which cannot pass for an orderly end."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def out_of_descriptors(error: OSError) -> bool:
     return error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -3,24 +3,27 @@
 from __future__ import annotations
 
 import socket
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from ..address import Address
+from ..bodies.body import Body, State
+from ..bodies.shares import Shares
 from ..core.exchange import RelayEnd
 from ..core.message import Message
 from ..metrics import Metrics
 from . import sockets
-from .answers import Malformed, Reply, outcome
-from .http import BODY, Payload
+from .answers import Malformed, Reply, TooMuch, outcome
+from .http import LONGEST, Payload
 from .inventory import Inventory
 from .loop import READ, WRITE, Loop, Timer
-from .pool import Pool
+from .pool import SIZE, Pool
 
 RETIRE = 0.6  # of the time after which a sim server closes an unused connection: a message must never cross that
 SWEEP = 1.0
-LARGEST = 4 << 20  # bytes of one answer at most, however much memory there is
 YOUNG, BAD_SHARE, TRIAL, NOTICE = 0.1, 0.1, 16, 0.05  # see Trust
-STALLED = 2.0  # s without a byte of an answer that has begun: one that stands still is spoilt
+STALLED = 2.0  # s without a byte of an answer that has begun, or taken of a long body: who stands still is given up
+FLOW_STALLED = 5.0  # the same once the client has a part of it: no other attempt can take its place
 
 Key = tuple[str, Address]  # id and address: a new sim server may have the address of one that is gone
 
@@ -61,16 +64,23 @@
 class Attempt:
     """One relay. `drop` gives it up by closing its connection."""
 
-    __slots__ = ("south", "message", "server", "until", "done", "conn", "out", "written", "timer",
-                 "stalling", "heard")
+    __slots__ = ("south", "message", "server", "until", "done", "began", "conn", "out", "stream", "chunked", "ended",
+                 "woken", "written", "timer", "stalling", "moved", "flow", "since")
 
     def __init__(self, south: Southside, message: Message, server: str, until: float,
-                 done: Callable[[RelayEnd], None]) -> None:
+                 done: Callable[[RelayEnd], None], began: Callable[[RelayEnd], None]) -> None:
         self.south, self.message, self.server, self.until, self.done = south, message, server, until, done
+        self.began = began
         self.conn: Conn | None = None
-        self.out = b""
+        self.out: deque[bytes | memoryview] = deque()  # what the socket has not taken yet
+        self.stream: Body | None = None  # the rest of the message, where its body is long
+        self.chunked = False  # how that is framed
+        self.ended = True  # all of the message has been put out
+        self.woken = False  # a write is on its way
         self.written = self.stalling = False
-        self.heard = 0.0  # when the last bytes of its answer came
+        self.moved = 0.0  # when the last bytes went or came
+        self.since = 0.0  # when the last byte of a long message was written
+        self.flow: Body | None = None  # of its answer, where that is long
         self.timer: Timer | None = None
 
     def drop(self) -> bool:
@@ -80,24 +90,26 @@
             self.south.close(conn)
         if self.timer is not None:
             self.timer.cancel()
+        if self.flow is not None:
+            self.flow.drop()
         return self.written
 
 
 class Southside:
     def __init__(self, loop: Loop, pool: Pool, inventory: Inventory, metrics: Metrics, most: int, idle: float,
-                 connect: float, fields: Sequence[str], memory: int) -> None:
+                 connect: float, fields: Sequence[str], shares: Shares) -> None:
         self.loop, self.pool, self.inventory, self.metrics = loop, pool, inventory, metrics
         self.most, self.retire, self.connect, self.fields = most, idle * RETIRE, connect, fields
         self.unused: dict[Key, list[Conn]] = {}  # the last used at the end
         self.count = 0
-        # Bytes of answers not passed on yet: no answer alone, nor all together, may take the memory.
-        self.held, self.budget, self.largest = 0, memory, min(LARGEST, max(BODY, memory // 16))
+        self.shares = shares
         self.trust = Trust()
         loop.call_in(SWEEP, self._sweep)
 
-    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None]) -> Attempt:
+    def start(self, message: Message, server: str, left: float, done: Callable[[RelayEnd], None],
+              began: Callable[[RelayEnd], None]) -> Attempt:
         now = self.loop.clock()
-        attempt = Attempt(self, message, server, now + left, done)
+        attempt = Attempt(self, message, server, now + left, done, began)
         at = self.inventory.address(server)
         if at is None or not self.inventory.usable(server):
             self._end(attempt, RelayEnd("connect_failed"))
@@ -176,10 +188,47 @@
             self._keep(conn)
             self._end(attempt, RelayEnd("connect_failed"))
             return
-        conn.reply = Reply(self.largest)
-        attempt.out = self._encode(attempt, conn.key[1])
+        payload: Payload = attempt.message.payload
+        conn.reply = Reply(LONGEST, bodiless=payload.method == b"HEAD")
+        if payload.stream is not None and not self._stream(conn, attempt, payload.stream):
+            self._keep(conn)
+            self._end(attempt, RelayEnd("connect_failed"))
+            return
+        attempt.out.append(self._encode(attempt, conn.key[1]))
         self._write(conn, attempt)
 
+    def _stream(self, conn: Conn, attempt: Attempt, stream: Body) -> bool:
+        """A long body is read from its first byte on; False where that is gone."""
+        if not stream.begin():
+            return False
+        attempt.stream, attempt.ended = stream, False
+        attempt.chunked = stream.length < 0 and stream.state is not State.ENDED
+        attempt.moved = self.loop.clock()
+
+        def wake() -> None:  # never from within the read that brought it: what breaks here would end that one too
+            if not attempt.woken and attempt.conn is conn:
+                attempt.woken = True
+                self.loop.call_soon(lambda: self._woken(conn, attempt))
+        stream.changed = wake
+        attempt.timer = self.loop.call_in(STALLED, lambda: self._unsent(conn, attempt))
+        return True
+
+    def _woken(self, conn: Conn, attempt: Attempt) -> None:
+        attempt.woken = False
+        if attempt.conn is conn and not attempt.written:
+            self._write(conn, attempt)
+
+    def _unsent(self, conn: Conn, attempt: Attempt) -> None:
+        """A server that takes nothing of what waits for it stands still; one for which nothing waits does not."""
+        if attempt.conn is not conn or attempt.written:
+            return
+        still = self.loop.clock() - attempt.moved if attempt.out else 0.0
+        if still >= STALLED:
+            self.metrics.add("sends_stalled")
+            self._broken(conn)
+            return
+        attempt.timer = self.loop.call_in(STALLED - still, lambda: self._unsent(conn, attempt))
+
     def _encode(self, attempt: Attempt, at: Address) -> bytes:
         message = attempt.message
         payload: Payload = message.payload
@@ -189,77 +238,139 @@
         if message.revision:  # the book speaks, whatever X-Tariff says
             lines.append(b"X-Plan: %s; revision=%d\r\n" % (message.plan.encode(), message.revision))
         lines += [b"%s: %s\r\n" % header for header in payload.headers]
-        if payload.body or payload.method not in (b"GET", b"HEAD"):
+        if attempt.chunked:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        elif payload.stream is not None:
+            whole = payload.stream.length if payload.stream.length >= 0 else payload.stream.size
+            lines.append(b"Content-Length: %d\r\n" % whole)
+        elif payload.body or payload.method not in (b"GET", b"HEAD"):
             lines.append(b"Content-Length: %d\r\n" % len(payload.body))
         lines += [b"\r\n", payload.body]
         return b"".join(lines)
 
     def _write(self, conn: Conn, attempt: Attempt) -> None:
         try:
-            sent = conn.sock.send(attempt.out)
-        except BlockingIOError:
-            sent = 0
+            while sockets.write(conn.sock, attempt.out) and not attempt.ended and self._refill(attempt):
+                attempt.moved = self.loop.clock()
         except OSError:
-            self._broken(conn)
+            # What it said before it closed may be that it turned the message away.
+            self._readable(conn)
+            if attempt.conn is conn:
+                self._broken(conn)
             return
-        attempt.out = attempt.out[sent:]
-        if not attempt.out and not attempt.written:
+        if attempt.ended and not attempt.out and not attempt.written:
             attempt.written = True
             self.metrics.of("tries", attempt.message.cls)
-        self.loop.want(conn.sock, READ if attempt.written else READ | WRITE, lambda events: self._event(conn, events))
+            if attempt.stream is not None:
+                attempt.since = self.loop.clock()
+                if attempt.timer is not None:
+                    attempt.timer.cancel()
+        self.loop.want(conn.sock, READ | WRITE if attempt.out else READ, lambda events: self._event(conn, events))
+
+    def _refill(self, attempt: Attempt) -> bool:
+        """The next slice of a long body; False where there is none yet."""
+        stream = attempt.stream
+        assert stream is not None
+        slices = stream.take()
+        if slices and attempt.chunked:
+            attempt.out.append(b"%x\r\n" % sum(map(len, slices)))
+        attempt.out.extend(slices)
+        if slices and attempt.chunked:
+            attempt.out.append(b"\r\n")
+        if stream.whole:
+            attempt.ended = True
+            if attempt.chunked:
+                attempt.out.append(b"0\r\n\r\n")
+        return bool(slices) or attempt.ended
 
     def _readable(self, conn: Conn) -> None:
-        buffer = self.pool.take()
+        attempt, reply = conn.relay, conn.reply
+        room = SIZE if attempt is None or attempt.flow is None else min(SIZE, attempt.flow.space())
+        if not room:  # its client does not take what is there already
+            self.loop.want(conn.sock, 0, lambda events: None)
+            return
+        buffer, ours = self.pool.take(), False
         try:
-            count = conn.sock.recv_into(buffer)
-            if conn.reply is None:  # unused: it has ended, or says what nobody asked for
+            count = conn.sock.recv_into(buffer, room)
+            if reply is None:  # unused: it has ended, or says what nobody asked for
                 count = -1
             elif count:
-                size = conn.reply.size
+                before = reply.gathered
                 try:
-                    conn.reply.feed(bytes(memoryview(buffer)[:count]))
+                    reply.feed(bytes(memoryview(buffer)[:count]))
                 finally:
-                    self.held += conn.reply.size - size
-                if self.held > self.budget:
-                    self.metrics.add("answers_over_memory")
-                    raise Malformed
+                    fits = self.shares.gathered(reply.gathered - before)
+                if not fits:
+                    raise TooMuch
             else:
-                conn.reply.end()
+                reply.end()
         except BlockingIOError:
             return
         except OSError:
             count = -1
+        except TooMuch:
+            self.metrics.add("answers_over_memory")
+            count, ours = -1, True
         except Malformed:
             self.metrics.add("answers_spoilt")
             count = -1
         finally:
             self.pool.give(buffer)
-        attempt, reply = conn.relay, conn.reply
         if attempt is not None and count > 0:
-            attempt.heard = self.loop.clock()
-        if reply is not None and attempt is not None and (count <= 0 or reply.whole):
+            attempt.moved = self.loop.clock()
+        if reply is None or attempt is None:
+            if count <= 0:
+                self._broken(conn)
+            return
+        if count <= 0 or reply.whole:
             self.trust.learn(conn.age, count <= 0 and not reply.begun)
-        if reply is not None and reply.whole and attempt is not None:
-            end = outcome(reply, self.fields)
-            if count > 0 and attempt.written and reply.keep:
-                self._keep(conn)
-            else:
-                if reply.surplus:
-                    self.metrics.add("answers_surplus")
-                attempt.conn = conn.relay = None
-                self.close(conn)
-            self._end(attempt, end)
+        if reply.whole:
+            self._answered(conn, attempt, reply, count > 0)
         elif count <= 0:
-            self._broken(conn)
-        elif reply is not None and reply.begun and attempt is not None and not attempt.stalling:
+            self._broken(conn, ours)
+        elif reply.begun and not attempt.stalling and attempt.written:
             attempt.stalling = True
             attempt.timer = self.loop.call_in(STALLED, lambda: self._stalled(conn))
+        if reply.long and attempt.flow is None and attempt.conn is conn and attempt.written:
+            self._begun(conn, attempt, reply)
+
+    def _answered(self, conn: Conn, attempt: Attempt, reply: Reply, open_still: bool) -> None:
+        end = outcome(reply, self.fields)
+        if not attempt.written and end.status != "full":
+            end = RelayEnd("connect_failed")  # a server begins at the last byte: this is no answer to the message
+        if open_still and attempt.written and reply.keep:
+            self._keep(conn)
+        else:
+            if reply.surplus:
+                self.metrics.add("answers_surplus")
+            attempt.conn = conn.relay = None
+            self.close(conn)
+        self._end(attempt, end)
+
+    def _begun(self, conn: Conn, attempt: Attempt, reply: Reply) -> None:
+        """It is longer than what is held whole: from here on it flows to the client."""
+        attempt.flow = flow = Body(self.shares, reply.length)
+
+        def eased() -> None:
+            if attempt.conn is conn:
+                attempt.moved = self.loop.clock()
+                self.loop.want(conn.sock, READ, lambda events: self._event(conn, events))
+        flow.eased = eased
+        before = reply.gathered
+        reply.flow(flow)
+        self.shares.gathered(-before)
+        end = outcome(reply, self.fields)
+        end.since = attempt.since
+        attempt.began(end)
 
     def _stalled(self, conn: Conn) -> None:
         attempt = conn.relay
-        if attempt is not None and (still := self.loop.clock() - attempt.heard) < STALLED:
+        if attempt is not None and attempt.flow is not None and not attempt.flow.space():
+            attempt.moved = self.loop.clock()  # we do not read: that is its client's pace
+        longest = STALLED if attempt is None or attempt.flow is None else FLOW_STALLED
+        if attempt is not None and (still := self.loop.clock() - attempt.moved) < longest:
             # It came slowly but it still comes: a peer may write a long answer in pieces over seconds.
-            attempt.timer = self.loop.call_in(STALLED - still, lambda: self._stalled(conn))
+            attempt.timer = self.loop.call_in(longest - still, lambda: self._stalled(conn))
             return
         self.metrics.add("answers_stalled")
         self._broken(conn)
@@ -273,17 +384,22 @@
         self.unused.setdefault(conn.key, []).append(conn)
         self.loop.want(conn.sock, READ, lambda events: self._event(conn, events))
 
-    def _broken(self, conn: Conn) -> None:
+    def _broken(self, conn: Conn, ours: bool = False) -> None:
+        """`ours`: it is not the server's fault, and would be so again."""
         attempt = conn.relay
         if attempt is not None:
             attempt.conn = conn.relay = None
+            if attempt.flow is not None:
+                attempt.flow.cut()
         self.close(conn)
         if attempt is not None:  # the last byte written or not is what tells whether it may have run
-            self._end(attempt, RelayEnd("reset" if attempt.written else "connect_failed"))
+            status = "cancelled" if ours else "reset" if attempt.written else "connect_failed"
+            self._end(attempt, RelayEnd(status, last=ours))
 
     def _end(self, attempt: Attempt, end: RelayEnd) -> None:
         if attempt.timer is not None:
             attempt.timer.cancel()
+        end.since = attempt.since
         attempt.done(end)
 
     def close(self, conn: Conn) -> None:
@@ -301,7 +417,7 @@
     def _forget(self, conn: Conn) -> None:
         """The one place where an answer's bytes are given back."""
         if conn.reply is not None:
-            self.held -= conn.reply.size
+            self.shares.gathered(-conn.reply.gathered)
             conn.reply = None
 
     def stop(self) -> None:
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -110,7 +110,7 @@
         after = self.over_quota(now, c, r.units - r.held) if c and r.units > r.held else 0.0
         why = ("quota" if after > 0 else "rate" if loop.tokens < 1 else "haste" if r.left < HASTE * loop.mean
                else "room" if self.crowded(now, loop) else "")
-        if why or not self.send(now, q := Held(r, loop, c, now + r.left)):
+        if why or not self.send(now, q := Held(r, loop, c, math.inf if r.coming else now + r.left)):
             return self.refuse(r.id, max(after, (1 - loop.tokens) / loop.rate, loop.mean), why or "servers")
         loop.tokens, loop.sent, self.reqs[r.id] = loop.tokens - 1, loop.sent + 1, q
         if c:
@@ -139,12 +139,21 @@
         done = q.tries >= self.s.max_attempts or now >= q.until - self.s.tick
         if done or not (s := self.choose(now, q, group)):
             return False
-        self.servers.sent(s, (q.r.id, q.tries), now, s.warmth(now, self.s) == 1)
+        s.tokens -= 1
+        if not q.coming:
+            self.servers.sent(s, (q.r.id, q.tries), now, s.warmth(now, self.s) == 1)
         q.went(s, now)
-        timed = not self.s.cancel and not spec.stream and self.may_repeat(now, q, s)
+        timed = not (self.s.cancel or spec.stream or q.coming) and self.may_repeat(now, q, s)
         self.acts.append(i.Send(q.r.id, s.e.server, max(spec.aim / 2, SILENT * q.loop.mean) * timed))
         return True
 
+    def whole(self, now: float, e: i.Whole) -> None:
+        """The body of a request is there: from now on its time runs, and an attempt of it is work out."""
+        if (q := self.reqs.get(e.id)) and q.coming:
+            q.until, q.sent = now + q.r.left, now
+            if q.out and q.server:
+                self.servers.sent(q.server, (e.id, q.tries - 1), now, q.server.warmth(now, self.s) == 1)
+
     def outcome(self, now: float, o: i.Outcome) -> None:
         q, s = self.reqs.get(o.id), self.servers.get(o.server)
         if s:
@@ -167,7 +176,7 @@
             self.judge(now, q, s, o)
         if o.closed or q.ended or o.status == "ok":
             self.over(now, q, o.pending)
-        elif not self.send(now, q):
+        elif o.last or not self.send(now, q):
             self.over(now, q, False)
             # A refusal says that another try is harmless: if this one may have run, its class must allow it.
             if q.ran is None or effect == "safe" or effect == "keyed" and q.loop.spec.group == "all":
@@ -190,6 +199,8 @@
         if q and q.server and q.out and not q.bound and e.attempt == q.tries - 1:
             q.bound = True
             self.answered(now, q, q.server, e.latency)
+            if e.work_done:
+                self.servers.ended(q.server, (e.id, e.attempt))
 
     def gone(self, now: float, e: i.Gone) -> None:
         if (q := self.reqs.get(e.id)) and not q.ended:
@@ -483,7 +494,8 @@
 
 
 DOES: dict[type, Callable[[Gateway, float, Any], None]] = {
-    i.Request: Gateway.request, i.Outcome: Gateway.outcome, i.Started: Gateway.started, i.Gone: Gateway.gone,
+    i.Request: Gateway.request, i.Whole: Gateway.whole, i.Outcome: Gateway.outcome,
+    i.Started: Gateway.started, i.Gone: Gateway.gone,
     i.ServerList: Gateway.members, i.Probed: Gateway.probed, i.Counted: Gateway.counted,
     i.PeerNote: Gateway.note, i.Timer: Gateway.beat, i.PlanFigures: Gateway.figures, i.Moved: Gateway.moved,
     i.Reserve: Gateway.reserve, i.Settle: Gateway.settle, i.Allow: Gateway.allow, i.Gateways: Gateway.fleet}
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -156,6 +156,14 @@
     write: bool = False
     held: float = 0.0  # units that a reservation holds for it already
     revision: int = 0  # of the plan book, for Charge
+    coming: bool = False  # its body is long and still comes: its time begins with Whole
+
+
+@dataclass(slots=True)
+class Whole:
+    """The last byte of a body that was still coming is there."""
+
+    id: str
 
 
 @dataclass(slots=True)
@@ -170,6 +178,7 @@
     cost: float = 0.0
     load: list[float] = field(default_factory=list)
     pending: bool = False  # its units stay held until Settle: the end of this attempt is not seen here
+    last: bool = False  # its body is not kept: no further attempt is possible
 
 
 @dataclass(slots=True)
@@ -180,6 +189,7 @@
     server: str
     attempt: int
     latency: float = 0.0
+    work_done: bool = False  # only bytes of the answer still come: it is no work out at the server any more
 
 
 @dataclass(slots=True)
@@ -275,8 +285,8 @@
     cold: int = 0  # of a cold server's least, where that is more
 
 
-Event = (ServerList | Request | Outcome | Started | Gone | Probed | Counted | PeerNote | Timer | PlanFigures | Moved
-         | Reserve | Settle | Allow | Gateways)
+Event = (ServerList | Request | Whole | Outcome | Started | Gone | Probed | Counted | PeerNote | Timer | PlanFigures
+         | Moved | Reserve | Settle | Allow | Gateways)
 
 
 # Actions
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -309,7 +309,6 @@
 
     def sent(self, s: Server, attempt: tuple[str, int], now: float, warm: bool) -> None:
         self.warm_sent += warm
-        s.tokens -= 1
         if not s.out:
             self.busy[s.e.server] = s
             s.counted = not s.aside
@@ -355,10 +354,15 @@
     cost: float = 0.0  # true units, once told
     plan: str = ""  # the customer's when it was let in
 
+    @property
+    def coming(self) -> bool:
+        """Its body is not whole: `until` is not known yet, and nothing of it is work at a server."""
+        return self.until == inf
+
     def went(self, s: Server, now: float) -> None:
         """An attempt goes out."""
         self.first = self.first or now
-        self.server, self.sent, self.out = s, now, True
+        self.server, self.sent, self.out = s, inf if self.coming else now, True
         self.tries += 1
         if self.cust:
             self.cust.open += 1
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -17,6 +17,7 @@
 import structlog
 
 from .address import Address, ConfigError
+from .bodies.shares import Shares
 from .config import Config, reload
 from .core.ingress import Ingress
 from .metrics import Metrics, exposition
@@ -74,12 +75,12 @@
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         sockets -= min(SPARE, max(16, sockets // SPARE_PART))
         clients = min(sockets * 3 // 5, config.memory_mb * 1024 // MEMORY_PART // CLIENT_KB)
+        self.shares = Shares((config.memory_mb << 20) // MEMORY_PART)
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
-                               config.transport.idle, config.transport.connect, config.transport.fields,
-                               (config.memory_mb << 20) // MEMORY_PART)
+                               config.transport.idle, config.transport.connect, config.transport.fields, self.shares)
         self.drain = Drain()
         self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready,
-                           self.drain)
+                           self.drain, self.shares)
         self.console: Console | None = None
         self.discovery: Any = None
         self.front: Any = None
@@ -179,7 +180,8 @@
 
     def gauges(self) -> dict[str, int]:
         apart = self.ingress.gateway.servers.apart
-        return {"active": sum(not exchange.over for exchange in self.ingress.held.values()),
+        asked = sum(not exchange.over for exchange in self.ingress.held.values())
+        return {"active": asked + self.north.flowing,
                 "pool_size": len(self.inventory),
                 "pool_ejected": sum(self.inventory.address(name) is not None for name in apart)}
 
