Bodies kept for another attempt in files where memory has no room; bench of many bodies

A client's body over 1 MB (or past the memory kept for that) could be sent once only.

Disk full, a short write, no folder, the account of files full: the next lower step, one log line, the attempt that is out goes on. A file cut short ends the attempt (Hole) and is never sent as if whole. longest_mb is the bound of a client's body. benchmarks/bodies plays bodies of 1 KB to 32 MB both ways, fast, at 64 kB/s, in pieces, cut off and never read, and compares digests at both ends; its short form is a test.

Not taken: one file for all bodies (its free room would need an account of its own), named files (somebody can remove them).

--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -42,13 +42,14 @@
 class Process:
     """A daemon of its own."""
 
-    def __init__(self, folder: Path, name: str, port: int, discovery: str, counter: str, operator: str) -> None:
+    def __init__(self, folder: Path, name: str, port: int, discovery: str, counter: str, operator: str,
+                 limits: dict[str, int] | None = None) -> None:
         self.at = ("127.0.0.1", port)
         raw = settings(1)
         for plan in raw["TiersOfService"]:
             plan.update(QuotaRate=1e6, Burst=1e6)  # the cost is asked for, not the quota
         config = {"name": name, "listen": f"127.0.0.1:{port}", "discovery": discovery, "counter": counter,
-                  "settings": raw}
+                  "settings": raw, "limits": limits or {}}
         (folder / f"{name}.json").write_text(json.dumps(config))
         (folder / f"{name}.toml").write_text(operator)
         with open(folder / f"{name}.log", "wb") as log:
--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -8,8 +8,8 @@
 | CUT     | its writer broke off: never whole             | DROPPED                                                |
 | DROPPED | nobody wants it any more: what comes is lost  | none                                                   |
 
-`whole` is ENDED with every byte taken by the reader. A body that is `kept` can be read from its first byte again, by
-another attempt; one that is not has let go of what its reader took."""
+`whole` is ENDED with every byte taken by the reader. A body can be read from its first byte `again`, by another
+attempt, while it is kept: in memory up to a size, then in a file where there is a folder for that, then not at all."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from .shares import Shares
+    from .spool import Spool
 
 SLICE = 65536  # bytes handed to a reader at a time
 
@@ -37,6 +38,10 @@
 def _nothing() -> None: ...
 
 
+class Hole(Exception):
+    """What was kept in a file cannot be read any more: this attempt cannot go on, and no other can begin."""
+
+
 class Body:
     """Owned by who makes it, until `drop`; `shares` counts what it holds. Sizes are bytes.
 
@@ -44,7 +49,7 @@
     writer may put in more after it had no room. Neither is called from within a call of the same side."""
 
     __slots__ = ("shares", "length", "state", "size", "kept", "changed", "eased", "_parts", "_gone", "_at", "_index",
-                 "_offset", "_full")
+                 "_offset", "_full", "_spool")
 
     def __init__(self, shares: Shares, length: int = -1, keep: bool = False) -> None:
         """`length`: of the whole, where its writer told it, else -1. `keep`: for another attempt, if there is room."""
@@ -58,6 +63,7 @@
         self._at = 0  # taken by the reader, from the first byte on
         self._index = self._offset = 0  # where that is in the parts
         self._full = False  # the writer was told that there is no room
+        self._spool: Spool | None = None  # all of it so far, where it is kept in a file
         shares.begin()
 
     @property
@@ -74,8 +80,8 @@
         return self.state in OPEN
 
     def again(self) -> bool:
-        """It can be read from its first byte once more: nothing of it was let go."""
-        return not self._gone and self.state not in (State.CUT, State.DROPPED)
+        """It can be read from its first byte once more."""
+        return (not self._gone or self._spool is not None) and self.state not in (State.CUT, State.DROPPED)
 
     @property
     def whole(self) -> bool:
@@ -98,8 +104,11 @@
         assert self.state in OPEN, self.state
         self._parts.append(part)
         self.size += len(part)
-        if self.kept and not self.shares.keep(len(part), self.size):
-            self._forget()
+        if self.kept:
+            if not self.shares.keep(len(part), self.size):
+                self._forget()
+        elif self._spool is not None and not self._spool.write(part):
+            self._spool = None
         self.changed()
 
     def end(self) -> None:
@@ -125,8 +134,15 @@
         return True
 
     def take(self, most: int = SLICE) -> list[memoryview]:
-        """Slices of what comes next, `most` bytes at most, which then counts as taken."""
+        """Slices of what comes next, `most` bytes at most, which then counts as taken. Raises Hole."""
         found: list[memoryview] = []
+        if self._at < self._gone:  # an attempt after the first: from the file
+            part = memoryview(self._spool.read(self._at, min(most, self._gone - self._at)) if self._spool else b"")
+            if not part:
+                self._unspool()
+                raise Hole
+            self._at += len(part)
+            return [part]
         while most > 0 and self._index < len(self._parts):
             part = memoryview(self._parts[self._index])[self._offset:self._offset + most]
             found.append(part)
@@ -149,6 +165,7 @@
         coming, self.state = self.coming, State.DROPPED
         if self.kept:
             self.shares.forget(self.held)
+        self._unspool()
         self.shares.end()
         self._parts, self._gone, self._at, self.kept = [], self.size, self.size, False
         self.changed = _nothing
@@ -157,11 +174,19 @@
         self.eased = _nothing
 
     def _forget(self) -> None:
-        """There is no room to keep it: from here on it can be read once only."""
+        """Memory has no room to keep it: from here on it is in a file, or can be read once only."""
         self.kept = False
         self.shares.forget(self.held - len(self._parts[-1]))
+        spool = self.shares.folder.open() if self.shares.folder is not None else None
+        if spool is not None and all(map(spool.write, self._parts)):
+            self._spool = spool
         self._let_go()
 
+    def _unspool(self) -> None:
+        if self._spool is not None:
+            self._spool.drop()
+            self._spool = None
+
     def _let_go(self) -> None:
         gone, self._parts[:self._index] = sum(map(len, self._parts[:self._index])), []
         self._gone, self._index = self._gone + gone, 0
--- a/brackenpulley/bodies/shares.py
+++ b/brackenpulley/bodies/shares.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .spool import Folder
+
 LEAST, MOST = 8 << 10, 256 << 10  # bytes that one body may hold ahead of its reader
 KEPT_MOST = 1 << 20  # of one body, for another attempt
 
@@ -12,11 +17,13 @@
     What flows has no count of bytes: each body may run ahead of its reader by an even share of the row, so their sum
     is bounded by the row, or by `LEAST` for each where there are very many. `total` is in bytes."""
 
-    __slots__ = ("held_most", "kept_most", "flow_most", "held", "kept", "flows")
+    __slots__ = ("held_most", "kept_most", "flow_most", "held", "kept", "flows", "folder")
 
-    def __init__(self, total: int) -> None:
+    def __init__(self, total: int, folder: Folder | None = None) -> None:
+        """`folder`: for what is to be kept and has no room here; without it that is not kept."""
         self.held_most, self.kept_most, self.flow_most = total // 2, total // 4, total // 4
         self.held = self.kept = self.flows = 0
+        self.folder = folder
 
     def window(self) -> int:
         return min(MOST, max(LEAST, self.flow_most // max(1, self.flows)))
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from ..address import Address
-from ..bodies.body import Body, State
+from ..bodies.body import Body, Hole, State
 from ..bodies.shares import Shares
 from ..core.exchange import RelayEnd
 from ..core.message import Message
@@ -252,6 +252,10 @@
         try:
             while sockets.write(conn.sock, attempt.out) and not attempt.ended and self._refill(attempt):
                 attempt.moved = self.loop.clock()
+        except Hole:
+            self.metrics.add("spool_holes")
+            self._broken(conn)
+            return
         except OSError:
             # What it said before it closed may be that it turned the message away.
             self._readable(conn)
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -85,6 +85,13 @@
     most: int  # instances that there may be in all; 0 = not told
 
 
+@dataclass(slots=True, frozen=True)
+class BodiesPart:
+    longest: int = 32 << 20  # bytes of a client's body
+    spool: str = ""  # a folder for what is kept for another attempt and has no room in memory; "" = it is not kept
+    spool_size: int = 1 << 30  # bytes of all files there
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     server: ServerPart | None = None
@@ -97,6 +104,7 @@
     ledger: LedgerPart | None = None
     members: MembersPart | None = None
     seconds: bool = False  # one line of the log a second: what was counted in it
+    bodies: BodiesPart = BodiesPart()
 
 
 def _table(raw: Any, name: str, known: set[str]) -> dict[str, Any] | None:
@@ -214,9 +222,19 @@
                        tuple(seeds), _text(part, name, "keys"), _whole(part, name, "most", 0, 0, 10_000))
 
 
+def _bodies(raw: Any) -> BodiesPart:
+    name = "bodies"
+    part = _table(raw, name, {"longest_mb", "spool", "spool_mb"}) or {}
+    spool = _text(part, name, "spool") if "spool" in part else ""
+    if "spool_mb" in part and not spool:
+        raise ConfigError(f"{name}.spool: missing, and {name}.spool_mb is set")
+    return BodiesPart(_whole(part, name, "longest_mb", 32, 1, 4096) << 20, spool,
+                      _whole(part, name, "spool_mb", 1024, 1, 1 << 20) << 20)
+
+
 def decode(raw: dict[str, Any]) -> Operator:
     top = _table(raw, "operator", {"authz", "xds", "control", "plans", "reservations", "leases", "ledger",
-                                   "members", "log"}) or {}
+                                   "members", "log", "bodies"}) or {}
     authz = _table(top.get("authz"), "authz", {"server", "client"}) or {}
     server = client = xds = None
     name = "authz.server"
@@ -244,7 +262,8 @@
     if not isinstance(seconds := log.get("seconds", False), bool):
         raise ConfigError(f"log.seconds: {seconds!r} is neither true nor false")
     return Operator(server, client, xds, control, plans, _reservations(top.get("reservations")),
-                    _leases(top.get("leases")), _ledger(top.get("ledger")), _members(top.get("members")), seconds)
+                    _leases(top.get("leases")), _ledger(top.get("ledger")), _members(top.get("members")), seconds,
+                    _bodies(top.get("bodies")))
 
 
 def decode_text(text: str, name: str) -> Operator:
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -75,12 +75,17 @@
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         sockets -= min(SPARE, max(16, sockets // SPARE_PART))
         clients = min(sockets * 3 // 5, config.memory_mb * 1024 // MEMORY_PART // CLIENT_KB)
-        self.shares = Shares((config.memory_mb << 20) // MEMORY_PART)
+        folder = None
+        if told.bodies.spool:
+            from .bodies.spool import Folder
+            folder = Folder(told.bodies.spool, told.bodies.spool_size,
+                            lambda error: log.error("spool", error=error))
+        self.shares = Shares((config.memory_mb << 20) // MEMORY_PART, folder)
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
                                config.transport.idle, config.transport.connect, config.transport.fields, self.shares)
         self.drain = Drain()
         self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready,
-                           self.drain, self.shares)
+                           self.drain, self.shares, told.bodies.longest)
         self.console: Console | None = None
         self.discovery: Any = None
         self.front: Any = None
--- a/brackenpulley/standins/wire.py
+++ b/brackenpulley/standins/wire.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from ..bodies.shares import Shares
 from ..net import sockets
-from ..net.http import Payload
+from ..net.http import LONGEST, Payload
 from ..net.loop import READ, WRITE, Loop
 from ..net.requests import Fault, Reader
 
@@ -20,9 +21,10 @@
 
     def __init__(self, server: Listener, sock: socket.socket) -> None:
         self.server, self.sock = server, sock
-        self.reader = Reader()
+        self.reader = Reader(server.shares, LONGEST)
         self.data = b""  # for listeners that speak no HTTP
-        self.out = b""
+        self.out: bytes | memoryview = b""
+        self.drained: Callable[[], None] | None = None  # called when all that was sent has gone
         self.open = True
         server.loop.register(sock, READ, self._event)
 
@@ -45,16 +47,19 @@
     def send(self, data: bytes) -> None:
         if not self.open:
             return
-        self.out += data
+        self.out = bytes(self.out) + data if self.out else data
         try:
             while self.out:
-                self.out = self.out[self.sock.send(self.out):]
+                self.out = memoryview(self.out)[self.sock.send(self.out):]
         except BlockingIOError:
             pass
         except OSError:
             self.close()
             return
         self.server.loop.want(self.sock, READ | WRITE if self.out else READ, self._event)
+        if not self.out and self.drained is not None:
+            call, self.drained = self.drained, None
+            self.server.loop.call_soon(call)
 
     def answer(self, status: int, body: bytes = b"", headers: str = "") -> None:
         """`headers` as lines, each with its end."""
@@ -76,8 +81,10 @@
 class Listener:
     """Port 0 takes a free one; `at` is where it listens. `stop` and `listen` again make it go and come back."""
 
-    def __init__(self, loop: Loop, heard: Heard | None = None, host: str = "127.0.0.1", port: int = 0) -> None:
-        self.loop, self.heard = loop, heard
+    def __init__(self, loop: Loop, heard: Heard | None = None, host: str = "127.0.0.1", port: int = 0,
+                 shares: Shares | None = None) -> None:
+        """`shares`: for long bodies, which are heard of while they come."""
+        self.loop, self.heard, self.shares = loop, heard, shares
         self.lines: set[Line] = set()
         self.sock: socket.socket | None = None
         self.at = (host, port)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import errno
+import os
+from pathlib import Path
+from typing import Any
+
 import hypothesis.strategies as st
 import pytest
 import xxhash
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 
+from brackenpulley.address import ConfigError
 from brackenpulley.bodies import pace, shares
-from brackenpulley.bodies.body import SLICE, Body, State
+from brackenpulley.bodies.body import SLICE, Body, Hole, State
 from brackenpulley.bodies.pace import Pace
 from brackenpulley.bodies.shares import Shares
+from brackenpulley.bodies.spool import Folder
 from brackenpulley.net.answers import EARLY, Reply
 from brackenpulley.net.http import BODY
 from brackenpulley.net.requests import Reader
+from brackenpulley.operator import decode
 
 from .rig import Rig, Wire, rig
 from .test_platform import H200, OK
@@ -523,3 +531,125 @@
             r.turn()
         ahead = sum(body.ahead for body in flows(r))
         assert len(flows(r)) == 12 and ahead <= account.flow_most and account.held <= account.held_most
+
+
+# Kept in files.
+
+def spooled(path: str, most: int = 1 << 30) -> tuple[Body, list[str]]:
+    errors = list[str]()
+    account = Shares(TOTAL, Folder(path, most, errors.append))
+    account.kept_most = 100_000
+    return Body(account, keep=True), errors
+
+
+def through(body: Body, data: bytes) -> bytes:
+    """In and taken, slice by slice."""
+    taken = b""
+    for at in range(0, len(data), 30_000):
+        body.put(data[at:at + 30_000])
+        taken += b"".join(body.take())
+    return taken
+
+
+def test_what_memory_has_no_room_for_is_read_again_from_a_file(tmp_path: Path) -> None:
+    body, errors = spooled(str(tmp_path))
+    body.begin()
+    data = noise(700_000)
+    assert through(body, data) == data and body.again() and not body.kept and body.held < 30_000
+    assert body.begin()
+    first = b"".join(body.take(123_456))  # the second attempt breaks too, in the middle of the file
+    assert first == data[:SLICE] or first == data[:123_456]
+    assert body.begin()
+    again = b""
+    while part := b"".join(body.take()):
+        again += part
+    body.put(b"the rest")
+    body.end()
+    assert again == data and b"".join(body.take()) == b"the rest" and body.whole
+    folder = body.shares.folder
+    assert folder is not None and folder.used == len(data) + 8
+    body.drop()
+    assert folder.used == 0 and not errors and not list(tmp_path.iterdir())
+
+
+@pytest.mark.parametrize("how", ["disk full", "short write", "account full", "no folder"])
+def test_a_file_that_cannot_take_it_is_the_next_lower_step_and_loses_nothing(
+        how: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real, calls = os.pwrite, [0]
+
+    def full(number: int, data: memoryview, at: int) -> int:
+        calls[0] += 1
+        if calls[0] > 5:
+            if how == "disk full" or calls[0] > 6:
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return real(number, data[:100], at)
+        return real(number, data, at)
+    if how in ("disk full", "short write"):
+        monkeypatch.setattr(os, "pwrite", full)
+    body, errors = spooled(str(tmp_path / "gone" if how == "no folder" else tmp_path),
+                           200_000 if how == "account full" else 1 << 30)
+    body.begin()
+    data = noise(600_000)
+    assert through(body, data) == data  # the attempt that is out goes on
+    assert not body.again() and not body.begin()  # and is the last
+    assert len(errors) == (how != "account full")
+    body.drop()
+    assert body.shares.folder is not None and body.shares.folder.used == 0
+
+
+def test_a_file_that_was_cut_short_ends_the_attempt_and_is_never_sent_as_if_whole(tmp_path: Path) -> None:
+    body, _ = spooled(str(tmp_path))
+    body.begin()
+    through(body, noise(400_000))
+    assert body._spool is not None and body.begin()
+    os.ftruncate(body._spool._file.fileno(), 100_000)
+    taken = b""
+    with pytest.raises(Hole):
+        while True:
+            taken += b"".join(body.take())
+    assert taken == noise(400_000)[:100_000] and not body.again()
+
+
+def test_a_body_over_what_memory_keeps_is_sent_again_from_its_file(tmp_path: Path) -> None:
+    body = noise(shares.KEPT_MOST + 700_000)
+    with rig(servers=2, effect="single_shot", operator={"bodies": {"spool": str(tmp_path)}}) as r:
+        client = r.client().send(post(len(body)))
+        sent, first = 0, None
+        while first is None or len(first.seen) < shares.KEPT_MOST + 100_000:
+            if sent < shares.KEPT_MOST + 600_000:
+                client.send(body[sent:sent + 100_000])
+                sent += 100_000
+            r.turn()
+            if first is None:
+                first = next((w for p in r.peers.values() if (w := p.connected())), None)
+            else:
+                first._more()
+        first.reset()
+        client.send(body[sent:])
+        _, second = r.served()
+        second.until(b"\r\n\r\n")
+        r.until(lambda: len(second.seen) >= len(body) or not second._more())
+        assert xxhash.xxh3_64(second.seen).digest() == xxhash.xxh3_64(body).digest()
+        second.send(OK)
+        assert client.answer()[0] == 200 and r.count("relays") == 2
+        folder = r.daemon.shares.folder
+        assert folder is not None and folder.used == 0
+
+
+@pytest.mark.parametrize(("told", "field"), [
+    ({"longest_mb": 0}, "bodies.longest_mb"), ({"longest_mb": "x"}, "bodies.longest_mb"),
+    ({"spool": 7}, "bodies.spool"), ({"spool_mb": 5}, "bodies.spool"),
+    ({"spool": "/x", "spool_mb": 0}, "bodies.spool_mb"), ({"most": 1}, "bodies.most")])
+def test_a_bad_setting_is_named(told: dict[str, Any], field: str) -> None:
+    with pytest.raises(ConfigError, match=field):
+        decode({"bodies": told})
+
+
+# Many at once, as `python -m benchmarks.bodies` plays it in full.
+
+def test_a_short_trial_of_many_bodies_loses_none_and_spoils_none() -> None:
+    from benchmarks.bodies import run
+    report = run(4.0, 80, 3, rounds=1)
+    assert (report["wrong"], report["lost"], report["cutOffForNothing"]) == (0, 0, 0), report
+    assert report["outcomes"]["whole"] > 50 and report["outcomes"]["told as cut off"] > 0, report
+    assert report["peakOverIdleMb"] < 30, report
