--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -9,7 +9,7 @@
 
 import typer
 
-from . import __version__
+from . import __version__, start
 from .address import ConfigError
 from .config import Config, load
 
@@ -40,12 +40,7 @@
 @app.command()
 def serve(config: Path = "", operator: Extra = "") -> None:
     """Serve in the foreground until SIGTERM."""
-    told = _load(config, operator)
-    from .serve import serve as run
-    try:
-        run(told)
-    except ConfigError as error:
-        raise _fail(error) from None
+    raise typer.Exit(start.serve({"--config": config, "--operator": operator}))
 
 
 @app.command("check-config")
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from dataclasses import dataclass
 from typing import Any
 
@@ -268,6 +267,7 @@
 
 def decode_text(text: str, name: str) -> Operator:
     """TOML; `name` is the file that it is from."""
+    import tomllib  # an ingress with no such file has no use for it
     try:
         return decode(tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -13,6 +13,10 @@
 import tomllib
 from pathlib import Path
 
+import pytest
+
+from brackenpulley.start import plain
+
 from .test_link import SETTINGS
 
 ROOT = Path(__file__).parent.parent
@@ -112,3 +116,33 @@
     assert "two.py:1: over 110 columns" in checked(10, 111).stderr
     own = measured(ROOT / "deploy" / "balancer.toml")
     assert own.returncode == 0, own.stderr
+
+
+NOT_FOR_SERVING = (
+    "typer", "click", "rich.console", "pydantic", "prometheus_client", "tomllib", "email", "http", "lmdb", "h2", "grpc",
+    "msgspec", "brackenpulley.cli", "brackenpulley.extras", "brackenpulley.commands", "brackenpulley.fleet",
+    "brackenpulley.control", "brackenpulley.ledger", "brackenpulley.members")
+
+
+def test_the_serving_path_loads_nothing_that_it_does_not_use(tmp_path: Path) -> None:
+    """The command line alone took half of the CPU from start to ready: a killed ingress serves nobody until then."""
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+                                  "counter": "127.0.0.1:1", "settings": SETTINGS}))
+    process = subprocess.Popen([sys.executable, "-X", "importtime", "-m", "brackenpulley", "serve", "--config",
+                                str(config)], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    assert process.stdout is not None
+    assert any("event=listening" in line for line in process.stdout)
+    process.send_signal(signal.SIGTERM)
+    _, trace = process.communicate(timeout=10)
+    loaded = {line.rpartition("|")[2].strip() for line in trace.splitlines() if line.startswith("import time:")}
+    assert process.returncode == 0 and "brackenpulley.serve" in loaded and "structlog" in loaded
+    assert not [name for name in loaded for other in NOT_FOR_SERVING if name == other or name.startswith(other + ".")]
+
+
+@pytest.mark.parametrize(("words", "options"), [
+    ("serve", {}), ("serve --config a --operator=b", {"--config": "a", "--operator": "b"}), ("serve --help", None),
+    ("serve --config", None), ("serve --config a --config b", None), ("check-config", None), ("", None),
+    ("serve x", None)])
+def test_what_is_not_plainly_serve_goes_to_the_command_line(words: str, options: dict[str, str] | None) -> None:
+    assert plain(words.split()) == options
