What was read and lost of one refused body no longer counts against the next

Found by rereading net/north: Client.shed was never set back, so a kept connection whose refused bodies came to 64 MB in all was closed in the middle of one. Set back where the refused body ends (North._taken); the test sends three bodies and fails without the change.

--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -248,7 +248,7 @@
             return
         client.upload = None  # it was let go when its message was answered
         if client.shed_by:
-            client.shed_by = 0.0
+            client.shed_by, client.shed = 0.0, 0
             self.shedding.pop(client, None)
             self._done(client)
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -19,6 +19,7 @@
 from brackenpulley.bodies.pace import Pace
 from brackenpulley.bodies.shares import Shares
 from brackenpulley.bodies.spool import Folder
+from brackenpulley.net import north
 from brackenpulley.net.answers import EARLY, Reply
 from brackenpulley.net.http import BODY
 from brackenpulley.net.requests import Reader
@@ -471,6 +472,15 @@
         assert client.ended()
 
 
+def test_what_was_lost_of_one_body_does_not_count_against_the_next(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(north, "LINGER_MOST", 320_000)
+    with rig(servers=0) as r:
+        client = r.client()
+        for _ in range(3):
+            client.send(post(300_000) + noise(300_000))
+            assert client.answer()[0] == 429
+
+
 def expecting(size: int) -> bytes:
     return post(size).replace(b"Content-Length", b"Expect: 100-continue\r\nContent-Length")
 
