A writer that waits for room is woken when a kept body has been read again from its file

Found by rereading bodies/body: Body.take returned early with what it read from the file, before the place that wakes the writer. After a second attempt had read a body that was all in its file, nobody asked its client for the rest, and the pace table counts what we hold back against nobody: the message would have stood until its client left. Only with [bodies] spool, which is off on the platform.

Change: take has one way out; where the bytes come from (_from_file, _from_memory) is beside it. The test fails without it (woken 0 times, 1 with it). Ruled out: the same with a body kept in memory, whose bytes go through the common end already.

--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -117,7 +117,7 @@
             self.changed()
 
     def cut(self) -> None:
-        """The writer broke off; also where all of it is in but not all is wanted any more."""
+        """The writer broke off."""
         if self.state in OPEN:
             self.state = State.CUT
             self.changed()
@@ -135,14 +135,23 @@
 
     def take(self, most: int = SLICE) -> list[memoryview]:
         """Slices of what comes next, `most` bytes at most, which then counts as taken. Raises Hole."""
+        found = self._from_file(most) if self._at < self._gone else self._from_memory(most)
+        if found and self._full and self.state in OPEN and self.ahead <= self.shares.window() // 2:
+            self._full = False
+            self.eased()
+        return found
+
+    def _from_file(self, most: int) -> list[memoryview]:
+        """For an attempt after the first."""
+        part = self._spool.read(self._at, min(most, self._gone - self._at)) if self._spool is not None else b""
+        if not part:
+            self._unspool()
+            raise Hole
+        self._at += len(part)
+        return [memoryview(part)]
+
+    def _from_memory(self, most: int) -> list[memoryview]:
         found: list[memoryview] = []
-        if self._at < self._gone:  # an attempt after the first: from the file
-            part = memoryview(self._spool.read(self._at, min(most, self._gone - self._at)) if self._spool else b"")
-            if not part:
-                self._unspool()
-                raise Hole
-            self._at += len(part)
-            return [part]
         while most > 0 and self._index < len(self._parts):
             part = memoryview(self._parts[self._index])[self._offset:self._offset + most]
             found.append(part)
@@ -153,9 +162,6 @@
                 self._index, self._offset = self._index + 1, 0
         if not self.kept:
             self._let_go()
-        if found and self._full and self.state in OPEN and self.ahead <= self.shares.window() // 2:
-            self._full = False
-            self.eased()
         return found
 
     def drop(self) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -628,6 +628,18 @@
     assert folder.used == 0 and not errors and not list(tmp_path.iterdir())
 
 
+def test_a_writer_that_waits_is_woken_when_the_file_has_been_read_again(tmp_path: Path) -> None:
+    body, _ = spooled(str(tmp_path))
+    woken = list[int]()
+    body.eased = lambda: woken.append(body.ahead)
+    body.begin()
+    through(body, noise(700_000))  # all of it is in the file, and nothing in memory
+    assert body.begin() and not body.space()
+    while body.ahead:
+        assert body.take()
+    assert len(woken) == 1
+
+
 @pytest.mark.parametrize("how", ["disk full", "short write", "account full", "no folder"])
 def test_a_file_that_cannot_take_it_is_the_next_lower_step_and_loses_nothing(
         how: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
