One framing of a long body for both sides, one call a turn, one reading of where the configuration is

Both kept a flag and a method to be called once after a read: Loop.once_a_turn. cli and start each read where the configuration is: start.configuration. standins/wire set the reset by hand: sockets.reset.

--- a/brackenpulley/bodies/pace.py
+++ b/brackenpulley/bodies/pace.py
@@ -2,12 +2,12 @@
 
 | what has come                          | the message is given up (408) when                             |
 | -------------------------------------- | -------------------------------------------------------------- |
-| nothing, or a part of the head         | `HEAD` s have passed since its first byte (the first message:   |
-|                                        | since connecting): a bad client is owed its answer within 3 s   |
-| a part of the body, some of it lately  | it is slower on the whole than `SLOWEST`, after `GRACE` s       |
-| a part of the body, none of it lately  | `STANDS` s have passed since the last byte of it; in the first  |
-|                                        | message `STANDS_FIRST`, once `HEAD` have since connecting        |
-| a part of the body, which we hold back | never: what we do not read does not count against the client    |
+| nothing, or a part of the head         | `HEAD` s have passed since its first byte (the first message:  |
+|                                        | since connecting): a bad client is owed its answer within 3 s  |
+| a part of the body, some of it lately  | it is slower on the whole than `SLOWEST`, after `GRACE` s      |
+| a part of the body, none of it lately  | `STANDS` s have passed since the last byte of it; in the first |
+|                                        | message `STANDS_FIRST`, once `HEAD` have since connecting      |
+| a part of the body, which we hold back | never: what we do not read does not count against the client   |
 """
 
 from __future__ import annotations
--- a/brackenpulley/cli.py
+++ b/brackenpulley/cli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import importlib
-import os
 import sys
 from typing import Annotated
 
@@ -11,7 +10,7 @@
 
 from . import __version__, start
 from .address import ConfigError
-from .config import Config, load
+from .config import Config
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="An ingress that holds customers to their quotas before a shared fleet of sim servers.")
@@ -23,11 +22,8 @@
 
 
 def _load(path: str, operator: str) -> Config:
-    path = path or os.environ.get("BALANCER_CONFIG", "")
     try:
-        if not path:
-            raise ConfigError("BALANCER_CONFIG: not set, and no --config given")
-        return load(path, operator)
+        return start.configuration(path, operator)
     except ConfigError as error:
         raise _fail(error) from None
 
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -39,7 +39,7 @@
         self._head = b""  # what has come of the head
         self._parts: list[bytes] = []
         self.size = self._interim = 0
-        self._length = -1  # of the body, where it is told
+        self.length = -1  # of the body, where it is told
         self._chunked = False
         self._parser: httptools.HttpResponseParser | None = None
 
@@ -81,12 +81,12 @@
             raise Malformed
         self.headed, self.status, self._chunked = True, status, bool(codings)
         if lengths:
-            self._length = int(lengths[0]) if lengths[0].strip().isdigit() else NOT_MEANT + 1
-            if self._length > self.most:  # known at once: nothing of it needs to be waited for
-                raise Malformed if self._length > NOT_MEANT else TooMuch
+            self.length = int(lengths[0]) if lengths[0].strip().isdigit() else NOT_MEANT + 1
+            if self.length > self.most:  # known at once: nothing of it needs to be waited for
+                raise Malformed if self.length > NOT_MEANT else TooMuch
         if status in (204, 304) or self._bodiless:
-            self._length, self._chunked = 0, False
-        self.keep = (bool(codings) or self._length >= 0) and not any(
+            self.length, self._chunked = 0, False
+        self.keep = (bool(codings) or self.length >= 0) and not any(
             n == b"connection" and b"close" in v.lower() for n, v in self.headers)
 
     def _parse(self, data: bytes) -> None:
@@ -99,9 +99,9 @@
             self._more()  # it was behind a whole answer
 
     def _take(self, data: bytes) -> None:
-        room = self._length - self.size if self._length >= 0 else self.most + 1
+        room = self.length - self.size if self.length >= 0 else self.most + 1
         self._add(data[:room])
-        if self.size == self._length:
+        if self.size == self.length:
             self._complete()
             if len(data) > room:
                 self._more()
@@ -125,14 +125,9 @@
     @property
     def long(self) -> bool:
         """It is plain that it is longer than what is held whole, and it is the answer that was wanted."""
-        told = self._length > self._held and self.size >= EARLY
+        told = self.length > self._held and self.size >= EARLY
         return self.status == 200 and not self.whole and (told or self.size > self._held)
 
-    @property
-    def length(self) -> int:
-        """Of the body, where it is told, else -1."""
-        return self._length
-
     @property
     def gathered(self) -> int:
         """Bytes of the body that are held here."""
@@ -159,7 +154,7 @@
     def end(self) -> None:
         """The connection ended: that is the end of an answer with no framing of its own, and breaks any other."""
         self.keep = False
-        if self.headed and not self.whole and not self._chunked and self._length < 0:
+        if self.headed and not self.whole and not self._chunked and self.length < 0:
             self._complete()
 
     # The parser's calls, about a head or a chunked body.
--- a/brackenpulley/net/http.py
+++ b/brackenpulley/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from ..bodies.body import Body
@@ -13,6 +14,19 @@
 KEPT = frozenset((b"x-request-id", b"idempotency-key"))  # these pass through whatever else is said
 
 
+def pass_on(body: Body, out: deque[bytes | memoryview], chunked: bool) -> bool:
+    """The next slice of a body and, where it was the last one, its end, framed; False where there is nothing yet."""
+    slices = body.take()
+    if slices and chunked:
+        out.append(b"%x\r\n" % sum(map(len, slices)))
+    out.extend(slices)
+    if slices and chunked:
+        out.append(b"\r\n")
+    if body.whole and chunked:
+        out.append(b"0\r\n\r\n")
+    return bool(out)
+
+
 @dataclass(slots=True)
 class Payload:
     """What passes through to a sim server unchanged."""
--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -111,6 +111,22 @@
     def call_soon(self, call: Callable[[], None]) -> None:
         self._soon.append(call)
 
+    def once_a_turn(self, call: Callable[[], None]) -> Callable[[], None]:
+        """A call that may be asked for many times and from anywhere: it comes once, at the end of the turn."""
+        asked = False
+
+        def due() -> None:
+            nonlocal asked
+            asked = False
+            call()
+
+        def ask() -> None:
+            nonlocal asked
+            if not asked:
+                asked = True
+                self.call_soon(due)
+        return ask
+
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         if self._wake is None:
             self._wake = Pipe()
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -17,7 +17,7 @@
 from ..metrics import Metrics
 from ..policy.drain import Drain
 from . import sockets
-from .http import LONGEST
+from .http import LONGEST, pass_on
 from .loop import READ, WRITE, Loop
 from .pool import SIZE, Pool
 from .requests import Fault, Reader, begin, encode, message
@@ -52,7 +52,7 @@
     """
 
     __slots__ = ("sock", "reader", "exchange", "busy", "keep", "out", "since", "reading", "closing", "serial",
-                 "crowded", "pace", "upload", "flow", "chunked", "old", "woken", "shed_by", "shed", "raw")
+                 "crowded", "pace", "upload", "flow", "chunked", "old", "shed_by", "shed", "raw")
 
     def __init__(self, sock: socket.socket, now: float, reader: Reader) -> None:
         self.sock, self.reader = sock, reader
@@ -70,7 +70,6 @@
         self.flow: Body | None = None  # of its answer
         self.chunked = False  # how that is framed
         self.old = False  # the message in hand came in HTTP/1.0
-        self.woken = False  # a write is on its way
         self.shed_by = 0.0  # until when what still comes is read and lost; 0 = it is not
         self.shed = 0  # bytes of that
         self.raw = False  # what comes is not parsed any more
@@ -348,16 +347,11 @@
         client.keep = client.keep and not self.draining and bool(framing)
         client.since = self.loop.clock()
 
-        def wake() -> None:  # never from within the read that brought it
-            if not client.woken and client.flow is body:
-                client.woken = True
-                self.loop.call_soon(lambda: self._woken(client, body))
         body.begin()
-        body.changed = wake
+        body.changed = self.loop.once_a_turn(lambda: self._woken(client, body))
         self._write(client, begin(status, framing, client.keep, 0.0, headers))
 
     def _woken(self, client: Client, body: Body) -> None:
-        client.woken = False
         if client.flow is body and client in self.clients:
             self._flush(client)
 
@@ -365,23 +359,14 @@
         """The next slice of a long answer; False where there is none, and the client's connection may be closed."""
         body = client.flow
         assert body is not None
-        slices = body.take()
-        if slices and client.chunked:
-            client.out.append(b"%x\r\n" % sum(map(len, slices)))
-        client.out.extend(slices)
-        if slices and client.chunked:
-            client.out.append(b"\r\n")
+        more = pass_on(body, client.out, client.chunked)
         if body.whole:
-            if client.chunked:
-                client.out.append(b"0\r\n\r\n")
             self._flowed(client)
-            return bool(client.out)
-        if not slices and body.state is State.CUT:
+        elif not more and body.state is State.CUT:
             if not client.chunked and body.length < 0:  # it ends with its connection: only a reset tells that it broke
                 sockets.reset(client.sock)
             self.close(client)
-            return False
-        return bool(slices)
+        return more
 
     def _flowed(self, client: Client) -> None:
         """The one place where a long answer is given back."""
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -14,7 +14,7 @@
 from ..metrics import Metrics
 from . import sockets
 from .answers import Malformed, Reply, TooMuch, outcome
-from .http import LONGEST, Payload
+from .http import LONGEST, Payload, pass_on
 from .inventory import Inventory
 from .loop import READ, WRITE, Loop, Timer
 from .pool import SIZE, Pool
@@ -65,7 +65,7 @@
     """One relay. `drop` gives it up by closing its connection."""
 
     __slots__ = ("south", "message", "server", "until", "done", "began", "conn", "out", "stream", "chunked", "ended",
-                 "woken", "written", "timer", "stalling", "moved", "flow", "since")
+                 "written", "timer", "stalling", "moved", "flow", "since")
 
     def __init__(self, south: Southside, message: Message, server: str, until: float,
                  done: Callable[[RelayEnd], None], began: Callable[[RelayEnd], None]) -> None:
@@ -76,7 +76,6 @@
         self.stream: Body | None = None  # the rest of the message, where its body is long
         self.chunked = False  # how that is framed
         self.ended = True  # all of the message has been put out
-        self.woken = False  # a write is on its way
         self.written = self.stalling = False
         self.moved = 0.0  # when the last bytes went or came
         self.since = 0.0  # when the last byte of a long message was written
@@ -205,16 +204,12 @@
         attempt.chunked = stream.length < 0 and stream.state is not State.ENDED
         attempt.moved = self.loop.clock()
 
-        def wake() -> None:  # never from within the read that brought it: what breaks here would end that one too
-            if not attempt.woken and attempt.conn is conn:
-                attempt.woken = True
-                self.loop.call_soon(lambda: self._woken(conn, attempt))
-        stream.changed = wake
+        # Never from within the read that brought it: what breaks here would end that one too.
+        stream.changed = self.loop.once_a_turn(lambda: self._woken(conn, attempt))
         attempt.timer = self.loop.call_in(STALLED, lambda: self._unsent(conn, attempt))
         return True
 
     def _woken(self, conn: Conn, attempt: Attempt) -> None:
-        attempt.woken = False
         if attempt.conn is conn and not attempt.written:
             self._write(conn, attempt)
 
@@ -273,19 +268,10 @@
 
     def _refill(self, attempt: Attempt) -> bool:
         """The next slice of a long body; False where there is none yet."""
-        stream = attempt.stream
-        assert stream is not None
-        slices = stream.take()
-        if slices and attempt.chunked:
-            attempt.out.append(b"%x\r\n" % sum(map(len, slices)))
-        attempt.out.extend(slices)
-        if slices and attempt.chunked:
-            attempt.out.append(b"\r\n")
-        if stream.whole:
-            attempt.ended = True
-            if attempt.chunked:
-                attempt.out.append(b"0\r\n\r\n")
-        return bool(slices) or attempt.ended
+        assert attempt.stream is not None
+        more = pass_on(attempt.stream, attempt.out, attempt.chunked)
+        attempt.ended = attempt.stream.whole
+        return more
 
     def _readable(self, conn: Conn) -> None:
         attempt, reply = conn.relay, conn.reply
--- a/brackenpulley/standins/wire.py
+++ b/brackenpulley/standins/wire.py
@@ -67,7 +67,7 @@
 
     def reset(self) -> None:
         """Break: the other side sees a reset where something of it is unread or unanswered."""
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sockets.reset(self.sock)
         self.close()
 
     def close(self) -> None:
--- a/brackenpulley/start.py
+++ b/brackenpulley/start.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator, Sequence
 
 from .address import ConfigError
-from .config import load
+from .config import Config, load
 
 OPTIONS = ("--config", "--operator")
 
@@ -43,13 +43,18 @@
                 del sys.modules[name]
 
 
+def configuration(path: str, operator: str) -> Config:
+    """`path` and `operator` as the options name them, else the environment. Raises ConfigError."""
+    path = path or os.environ.get("BALANCER_CONFIG", "")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: not set, and no --config given")
+    return load(path, operator or os.environ.get("BALANCER_OPERATOR", ""))
+
+
 def serve(options: dict[str, str]) -> int:
     """Until SIGTERM; the exit code. What is wrong with the configuration is one line on standard error, and 2."""
-    path = options.get("--config") or os.environ.get("BALANCER_CONFIG", "")
     try:
-        if not path:
-            raise ConfigError("BALANCER_CONFIG: not set, and no --config given")
-        told = load(path, options.get("--operator", os.environ.get("BALANCER_OPERATOR", "")))
+        told = configuration(options.get("--config", ""), options.get("--operator", ""))
         with without("rich"):  # structlog would load it for terminals, which the log is not written to
             from .serve import serve as run
         run(told)
