A server that waits for a slow client's room is not cut off as standing still

Cause: a long answer's server is not read again until half of the body's share is free (Body.eased), but Southside._stalled asked whether there was any room at all. Between the two a client that takes less than half a share (128 KiB) in 5 s had its answer cut off, and the server was judged for it.

Change: Body.full (told that there is no room, not eased yet) is what _stalled asks for.

--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -49,7 +49,7 @@
     writer may put in more after it had no room. Neither is called from within a call of the same side."""
 
     __slots__ = ("shares", "length", "state", "size", "kept", "changed", "eased", "_parts", "_gone", "_at", "_index",
-                 "_offset", "_full", "_spool")
+                 "_offset", "full", "_spool")
 
     def __init__(self, shares: Shares, length: int = -1, keep: bool = False) -> None:
         """`length`: of the whole, where its writer told it, else -1. `keep`: for another attempt, if there is room."""
@@ -62,7 +62,7 @@
         self._gone = 0  # let go in front of them
         self._at = 0  # taken by the reader, from the first byte on
         self._index = self._offset = 0  # where that is in the parts
-        self._full = False  # the writer was told that there is no room
+        self.full = False  # the writer was told that there is no room, and waits until it is eased
         self._spool: Spool | None = None  # all of it so far, where it is kept in a file
         shares.begin()
 
@@ -94,7 +94,7 @@
         if self.state is State.DROPPED:
             return SLICE
         room = max(0, self.shares.window() - self.ahead)
-        self._full = self._full or not room  # until `eased` is called, whatever is asked in between
+        self.full = self.full or not room  # until `eased` is called, whatever is asked in between
         return room
 
     def put(self, part: bytes) -> None:
@@ -136,8 +136,8 @@
     def take(self, most: int = SLICE) -> list[memoryview]:
         """Slices of what comes next, `most` bytes at most, which then counts as taken. Raises Hole."""
         found = self._from_file(most) if self._at < self._gone else self._from_memory(most)
-        if found and self._full and self.state in OPEN and self.ahead <= self.shares.window() // 2:
-            self._full = False
+        if found and self.full and self.state in OPEN and self.ahead <= self.shares.window() // 2:
+            self.full = False
             self.eased()
         return found
 
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -355,7 +355,7 @@
 
     def _stalled(self, conn: Conn) -> None:
         attempt = conn.relay
-        if attempt is not None and attempt.flow is not None and not attempt.flow.space():
+        if attempt is not None and attempt.flow is not None and attempt.flow.full:
             attempt.moved = self.loop.clock()  # we do not read: that is its client's pace
         longest = STALLED if attempt is None or attempt.flow is None else FLOW_STALLED
         if attempt is not None and (still := self.loop.clock() - attempt.moved) < longest:
