--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -92,7 +92,7 @@
 
     @property
     def owed(self) -> bool:
-        return not self.over and not self.out and self.asking is None
+        return self.final is None and not (self.gone or self.server) and self.asking is None
 
     @property
     def over(self) -> bool:
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -153,7 +153,7 @@
     def _decide(self, exchange: Exchange) -> None:
         exchange.asking = None
         m = exchange.message
-        left = min(m.left, max(0.0, exchange.until - self.clock()))
+        left = m.left if exchange.until == inf else max(0.0, exchange.until - self.clock())
         event = i.Request(m.id, m.cls, m.plan, m.customer, left, m.units, m.spread, m.first, m.retry)
         event.coming = exchange.until == inf
         if self.plans is not None:  # it may have waited for a verdict over the instant of a change
@@ -257,12 +257,14 @@
         exchange = self.held[a.id]
         now = self.clock()
         until = min(exchange.until, now + a.timeout) if a.timeout > 0 else exchange.until
+        left = exchange.message.left
         if until < inf:
+            left = until - now
             exchange.timer = self.timers.call_at(until, lambda: self._expired(exchange))
         self.metrics.at("relays", a.server)
         if self.holds is not None and exchange.attempt < 0 and exchange.message.reservation:
             self.holds.used(exchange.message)
-        exchange.relay(a.server, now, min(until - now, exchange.message.left), self._ended, self._began)
+        exchange.relay(a.server, now, left, self._ended, self._began)
 
     def _began(self, exchange: Exchange, attempt: int, end: RelayEnd) -> None:
         """A long answer begins to flow: it is the final one from here on, and no time-out ends it any more."""
@@ -292,8 +294,9 @@
             exchange.timer.cancel()
             exchange.timer = None
         self.metrics.at("relay_" + end.status, exchange.server)
+        last = end.last or end.status != "ok" and not m.again()
         event = i.Outcome(m.id, exchange.server, attempt, end.status, now - (end.since or exchange.sent),
-                          exchange.over, end.used, end.cost, end.load, last=end.last or not m.again())
+                          exchange.over, end.used, end.cost, end.load, last=last)
         if exchange.flowing:
             self._flowed(exchange, end.status)
         if end.status == "ok" and not exchange.over:
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -166,7 +166,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.headed:  # a trailer
             return
-        self.headers.append((name.lower(), value.strip(b" \t")))  # white space round a value is no part of it
+        if value and value[-1] <= 32:
+            value = value.strip(b" \t")  # white space round a value is no part of it; the parser leaves what is behind
+        self.headers.append((name.lower(), value))
         if len(self.headers) > 100:
             raise Malformed
 
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -20,7 +20,7 @@
 from .http import LONGEST, pass_on
 from .loop import READ, WRITE, Loop
 from .pool import SIZE, Pool
-from .requests import Fault, Reader, begin, encode, message
+from .requests import Fault, Reader, begin, message
 
 ACCEPTS_A_TURN = 64
 UNTAKEN = 10.0  # s for an answer to be taken
@@ -187,7 +187,7 @@
         return min(SIZE, room)
 
     def _readable(self, client: Client) -> None:
-        if not (room := self._room(client)):
+        if not (room := SIZE if client.reader.coming is None else self._room(client)):
             self._interest(client)
             return
         buffer, partial = self.pool.take(), client.reader.partial
@@ -383,8 +383,10 @@
             self._let_go(client)
         # Refused before its body was asked for: whether that comes all the same cannot be told from a next message.
         client.keep = client.keep and not self.draining and not unasked
-        client.since = self.loop.clock()
-        self._write(client, encode(status, body, client.keep, after, headers))
+        framing = b"Content-Length: %d\r\n" % len(body)
+        self._write(client, begin(status, framing, client.keep, after, headers) + body)
+        if client.out:
+            client.since = self.loop.clock()
 
     def _write(self, client: Client, data: bytes) -> None:
         client.out.append(data)
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -98,7 +98,9 @@
         self._head += len(name) + len(value)
         if self._head > HEAD:
             raise Fault(431)
-        header = name.lower(), value.strip(b" \t")  # white space round a value is no part of it
+        if value and value[-1] <= 32:
+            value = value.strip(b" \t")  # white space round a value is no part of it; the parser leaves what is behind
+        header = name.lower(), value
         self._headers.append(header)
         if header[0] in NOTED:
             self._noted.append(header)
@@ -159,7 +161,8 @@
             self._clear()
             body.end()
             return
-        self._found(Payload(self._parser.get_method(), self._target, self._headers, b"".join(self._parts)))
+        held = b"".join(self._parts) if self._parts else b""
+        self._found(Payload(self._parser.get_method(), self._target, self._headers, held))
         self._clear()
 
 
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -140,10 +140,10 @@
         if done or not (s := self.choose(now, q, group)):
             return False
         s.tokens -= 1
-        if not q.coming:
+        if not (coming := q.coming):
             self.servers.sent(s, (q.r.id, q.tries), now, s.warmth(now, self.s) == 1)
         q.went(s, now)
-        timed = not (self.s.cancel or spec.stream or q.coming) and self.may_repeat(now, q, s)
+        timed = not (self.s.cancel or spec.stream or coming) and self.may_repeat(now, q, s)
         self.acts.append(i.Send(q.r.id, s.e.server, max(spec.aim / 2, SILENT * q.loop.mean) * timed))
         return True
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,10 +13,13 @@
 import subprocess
 import sys
 import weakref
+from pathlib import Path
+from types import FrameType
 from typing import Any
 
 import pytest
 
+import brackenpulley
 from brackenpulley.address import address
 from brackenpulley.net import sockets
 from brackenpulley.net.answers import Malformed, Reply, outcome
@@ -844,3 +847,30 @@
     done = run(GOOD, tmp_path, "serve", "--operator", str(operator), PYTHONPATH=path)
     assert done.returncode == 2 and done.stderr.startswith("brackenpulley: operator: h2 ")
     assert done.stderr.count("\n") == 1
+
+
+def test_a_short_message_costs_no_more_calls_than_before_bodies_were_streamed() -> None:
+    """Counted, not timed: the same on every machine. 324 were made then, and 340 since."""
+    calls, ours = 0, str(Path(brackenpulley.__file__).parent)
+
+    def count(frame: FrameType, event: str, argument: object) -> None:
+        nonlocal calls
+        path = frame.f_code.co_filename
+        # Turns are made as often as the test's sockets need; what counts is what they bring about.
+        calls += event in ("call", "c_call") and path.startswith(ours) and not path.endswith(("loop.py", "serve.py"))
+
+    with rig() as r:
+        client, server = r.ask(1), None
+        for number in range(1, 40):
+            if number == 10:
+                sys.setprofile(count)
+            try:
+                client = r.ask(number, wire=client) if number > 1 else client
+                server = server or r.served()[1]
+                server.answer()
+                server.send(OK)
+                assert client.answer()[0] == 200
+            finally:
+                if number == 39:
+                    sys.setprofile(None)
+    assert calls / 30 <= 326
