--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -32,7 +32,7 @@
     DROPPED = "dropped"
 
 
-OPEN = frozenset((State.WAITING, State.FLOWING))  # more may come
+WAITING, FLOWING, DROPPED = State.WAITING, State.FLOWING, State.DROPPED  # asked for with each slice
 
 
 def _nothing() -> None: ...
@@ -77,7 +77,8 @@
 
     @property
     def coming(self) -> bool:
-        return self.state in OPEN
+        """More may be put in."""
+        return self.state is FLOWING or self.state is WAITING
 
     def again(self) -> bool:
         """It can be read from its first byte once more."""
@@ -91,17 +92,19 @@
 
     def space(self) -> int:
         """How much may be put in now. A body that nobody wants takes everything, and holds nothing."""
-        if self.state is State.DROPPED:
+        if self.state is DROPPED:
             return SLICE
-        room = max(0, self.shares.window() - self.ahead)
-        self.full = self.full or not room  # until `eased` is called, whatever is asked in between
-        return room
+        room = self.shares.window - (self.size - self._at)
+        if room > 0:
+            return room
+        self.full = True  # until `eased` is called, whatever is asked in between
+        return 0
 
     def put(self, part: bytes) -> None:
         """All of it, even past `space`: a parser may give more at once than was asked for."""
-        if self.state is State.DROPPED or not part:
+        if self.state is DROPPED or not part:
             return
-        assert self.state in OPEN, self.state
+        assert self.coming, self.state
         self._parts.append(part)
         self.size += len(part)
         if self.kept:
@@ -112,13 +115,13 @@
         self.changed()
 
     def end(self) -> None:
-        if self.state in OPEN:
+        if self.coming:
             self.state = State.ENDED
             self.changed()
 
     def cut(self) -> None:
         """The writer broke off."""
-        if self.state in OPEN:
+        if self.coming:
             self.state = State.CUT
             self.changed()
 
@@ -136,7 +139,7 @@
     def take(self, most: int = SLICE) -> list[memoryview]:
         """Slices of what comes next, `most` bytes at most, which then counts as taken. Raises Hole."""
         found = self._from_file(most) if self._at < self._gone else self._from_memory(most)
-        if found and self.full and self.state in OPEN and self.ahead <= self.shares.window() // 2:
+        if found and self.full and self.coming and self.ahead <= self.shares.window // 2:
             self.full = False
             self.eased()
         return found
@@ -194,5 +197,7 @@
             self._spool = None
 
     def _let_go(self) -> None:
-        gone, self._parts[:self._index] = sum(map(len, self._parts[:self._index])), []
-        self._gone, self._index = self._gone + gone, 0
+        if self._index:
+            self._gone += sum(map(len, self._parts[:self._index]))
+            del self._parts[:self._index]
+            self._index = 0
--- a/brackenpulley/bodies/shares.py
+++ b/brackenpulley/bodies/shares.py
@@ -17,22 +17,26 @@
     What flows has no count of bytes: each body may run ahead of its reader by an even share of the row, so their sum
     is bounded by the row, or by `LEAST` for each where there are very many. `total` is in bytes."""
 
-    __slots__ = ("held_most", "kept_most", "flow_most", "held", "kept", "flows", "folder")
+    __slots__ = ("held_most", "kept_most", "flow_most", "held", "kept", "flows", "folder", "window")
 
     def __init__(self, total: int, folder: Folder | None = None) -> None:
         """`folder`: for what is to be kept and has no room here; without it that is not kept."""
         self.held_most, self.kept_most, self.flow_most = total // 2, total // 4, total // 4
         self.held = self.kept = self.flows = 0
         self.folder = folder
+        self.window = 0  # bytes that each body may run ahead of its reader
+        self._share()
 
-    def window(self) -> int:
-        return min(MOST, max(LEAST, self.flow_most // max(1, self.flows)))
+    def _share(self) -> None:
+        self.window = min(MOST, max(LEAST, self.flow_most // max(1, self.flows)))
 
     def begin(self) -> None:
         self.flows += 1
+        self._share()
 
     def end(self) -> None:
         self.flows -= 1
+        self._share()
 
     def keep(self, size: int, whole: int) -> bool:
         """`size` more of a body that is `whole` by now; False, and nothing is counted, where it is not to be kept."""
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -279,17 +279,18 @@
 
     def _readable(self, conn: Conn) -> None:
         attempt, reply = conn.relay, conn.reply
-        room = SIZE if attempt is None or attempt.flow is None else min(SIZE, attempt.flow.space())
+        flow = attempt.flow if attempt is not None else None
+        room = SIZE if flow is None else min(SIZE, flow.space())
         if not room:  # its client does not take what is there already
             self.loop.want(conn.sock, 0, lambda events: None)
             return
-        buffer, ours = self.pool.take(), False
+        ours = False
         try:
-            count = conn.sock.recv_into(buffer, room)
+            count = len(data := self._read(conn.sock, room, flow is not None))
             if reply is None:  # unused: it has ended, or says what nobody asked for
                 count = -1
             elif count:
-                reply.feed(bytes(memoryview(buffer)[:count]))
+                reply.feed(data)
                 if not (reply.whole or self._fits(conn, reply)):
                     raise TooMuch
             else:
@@ -304,8 +305,6 @@
         except Malformed:
             self.metrics.add("answers_spoilt")
             count = -1
-        finally:
-            self.pool.give(buffer)
         if reply is None or attempt is None:
             if count <= 0:
                 self._broken(conn)
@@ -325,6 +324,16 @@
         if reply.long and attempt.flow is None and attempt.conn is conn and attempt.written:
             self._begun(conn, attempt, reply)
 
+    def _read(self, sock: socket.socket, room: int, flows: bool) -> bytes:
+        """What has come. A slice that flows goes on to the client as it is, so it is read into bytes of its own."""
+        if flows:
+            return sock.recv(room)
+        buffer = self.pool.take()
+        try:
+            return bytes(memoryview(buffer)[:sock.recv_into(buffer, room)])
+        finally:
+            self.pool.give(buffer)
+
     def _fits(self, conn: Conn, reply: Reply) -> bool:
         """What is held of an answer that is not whole yet is counted; False where all such are too much together."""
         change, conn.held = reply.gathered - conn.held, reply.gathered
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -94,7 +94,7 @@
     body, woken = Body(Shares(TOTAL)), list[int]()
     body.eased = lambda: woken.append(body.ahead)
     body.begin()
-    window = body.shares.window()
+    window = body.shares.window
     body.put(b"x" * window)
     assert not body.space()
     body.take(window // 4)
@@ -118,8 +118,8 @@
     account = Shares(8 << 20)
     for count in (1, 8, 50, 200):
         bodies = [Body(account) for _ in range(count)]
-        assert count * account.window() <= max(account.flow_most, count * shares.LEAST)
-        assert shares.LEAST <= account.window() <= shares.MOST
+        assert count * account.window <= max(account.flow_most, count * shares.LEAST)
+        assert shares.LEAST <= account.window <= shares.MOST
         for body in bodies:
             body.drop()
     assert account.keep(shares.KEPT_MOST, shares.KEPT_MOST) and not account.keep(1, shares.KEPT_MOST + 1)
