Reread: an answer is framed once, what a client's connection reads is one condition

Cause: cutting calls had left copies. North._reply framed an answer as encode does; whether a long body is on its way was asked in _room, _wants and _interest, the last of which _wants stood behind; body.py named its states in two ways; _quiet was one line used once. Change: encode is called again; _room takes the body, _wants is the condition in _interest; states by one set of names; _quiet is gone; Exchange asks its own field. Behaviour stays, no bound of a test changed.

--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -32,7 +32,7 @@
     DROPPED = "dropped"
 
 
-WAITING, FLOWING, DROPPED = State.WAITING, State.FLOWING, State.DROPPED  # asked for with each slice
+WAITING, FLOWING, ENDED, CUT, DROPPED = State  # asked for with each slice, so without a look into the class
 
 
 def _nothing() -> None: ...
@@ -54,7 +54,7 @@
     def __init__(self, shares: Shares, length: int = -1, keep: bool = False) -> None:
         """`length`: of the whole, where its writer told it, else -1. `keep`: for another attempt, if there is room."""
         self.shares, self.length, self.kept = shares, length, keep
-        self.state = State.WAITING
+        self.state = WAITING
         self.size = 0  # put in so far
         self.changed: Callable[[], None] = _nothing
         self.eased: Callable[[], None] = _nothing
@@ -82,11 +82,11 @@
 
     def again(self) -> bool:
         """It can be read from its first byte once more."""
-        return (not self._gone or self._spool is not None) and self.state not in (State.CUT, State.DROPPED)
+        return (not self._gone or self._spool is not None) and self.state not in (CUT, DROPPED)
 
     @property
     def whole(self) -> bool:
-        return self.state is State.ENDED and not self.ahead
+        return self.state is ENDED and not self.ahead
 
     # The writer's side.
 
@@ -116,13 +116,13 @@
 
     def end(self) -> None:
         if self.coming:
-            self.state = State.ENDED
+            self.state = ENDED
             self.changed()
 
     def cut(self) -> None:
         """The writer broke off."""
         if self.coming:
-            self.state = State.CUT
+            self.state = CUT
             self.changed()
 
     # The reader's side.
@@ -131,8 +131,8 @@
         """Read from the first byte on; False where it is gone."""
         if not self.again():
             return False
-        if self.state is State.WAITING:
-            self.state = State.FLOWING
+        if self.state is WAITING:
+            self.state = FLOWING
         self._at = self._index = self._offset = 0
         return True
 
@@ -169,9 +169,9 @@
 
     def drop(self) -> None:
         """Nobody wants it any more; the one place where what it holds is given back."""
-        if self.state is State.DROPPED:
+        if self.state is DROPPED:
             return
-        coming, self.state = self.coming, State.DROPPED
+        coming, self.state = self.coming, DROPPED
         if self.kept:
             self.shares.forget(self.held)
         self._unspool()
--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -100,22 +100,22 @@
 
     def relay(self, server: str, now: float, left: float, done: Callable[[Exchange, int, RelayEnd], None],
               began: Callable[[Exchange, int, RelayEnd], None]) -> None:
-        if self.over or self.out:
+        if self.over or self.server:
             raise ExchangeError(f"{self.message.id}: a relay while {'over' if self.over else 'another is out'}")
         self.server, self.attempt, self.sent = server, self.attempt + 1, now
         number = self.attempt
 
         def ended(end: RelayEnd) -> None:
-            if self.out and self.attempt == number:  # guards against an end that comes after giving up
+            if self.server and self.attempt == number:  # guards against an end that comes after giving up
                 self._relay = None
                 done(self, number, end)
 
         def begun(end: RelayEnd) -> None:
-            if self.out and self.attempt == number:
+            if self.server and self.attempt == number:
                 began(self, number, end)
 
         relay = self._south.start(self.message, server, left, ended, begun)
-        if self.out and self.attempt == number:
+        if self.server and self.attempt == number:
             self._relay = relay
 
     def settle(self) -> None:
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -20,7 +20,7 @@
 from .http import LONGEST, pass_on
 from .loop import READ, WRITE, Loop
 from .pool import SIZE, Pool
-from .requests import Fault, Reader, begin, message
+from .requests import Fault, Reader, begin, encode, message
 
 ACCEPTS_A_TURN = 64
 UNTAKEN = 10.0  # s for an answer to be taken
@@ -177,17 +177,17 @@
         if events & READ and client.reading and client in self.clients:
             self._readable(client)
 
-    def _room(self, client: Client) -> int:
-        """Bytes that may be read now: a long body is taken no faster than its server takes it."""
-        coming = client.reader.coming
-        if coming is None or client.raw:
+    def _room(self, client: Client, coming: Body) -> int:
+        """Bytes of it that may be read now: a long body is taken no faster than its server takes it."""
+        if client.raw:
             return SIZE
         if not (room := coming.space()):
             client.pace.hold(self.loop.clock(), True)
         return min(SIZE, room)
 
     def _readable(self, client: Client) -> None:
-        if not (room := SIZE if client.reader.coming is None else self._room(client)):
+        coming = client.reader.coming
+        if not (room := SIZE if coming is None else self._room(client, coming)):
             self._interest(client)
             return
         buffer, partial = self.pool.take(), client.reader.partial
@@ -383,8 +383,7 @@
             self._let_go(client)
         # Refused before its body was asked for: whether that comes all the same cannot be told from a next message.
         client.keep = client.keep and not self.draining and not unasked
-        framing = b"Content-Length: %d\r\n" % len(body)
-        self._write(client, begin(status, framing, client.keep, after, headers) + body)
+        self._write(client, encode(status, body, client.keep, after, headers))
         if client.out:
             client.since = self.loop.clock()
 
@@ -436,15 +435,12 @@
         client.reading = True
         self._interest(client)
 
-    def _wants(self, client: Client) -> bool:
-        if client.raw or client.shed_by:
-            return True
-        return not (client.busy and client.reader.whole) and bool(self._room(client))
-
     def _interest(self, client: Client) -> None:
         """Read unless messages wait that came too early; write while something waits to be written."""
         reader, wanted = client.reader, WRITE if client.out else 0
-        if client.reading and (reader.coming is None and not reader.whole or self._wants(client)):
+        coming = reader.coming
+        if client.reading and (client.raw or client.shed_by or not (client.busy and reader.whole) and (
+                coming is None or self._room(client, coming))):
             wanted |= READ
         self.loop.want(client.sock, wanted, lambda events: self._event(client, events))
 
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -131,14 +131,12 @@
         while kept:
             conn = kept.pop()
             conn.age = now - conn.since
-            if conn.age < self.retire and self.trust.allows(conn.age) and self._quiet(conn):
+            if conn.age < self.retire and self.trust.allows(conn.age) and (
+                    sockets.waiting(conn.sock) is None):  # else it has ended, or says what nobody asked for
                 return conn
             self.close(conn)
         return None
 
-    def _quiet(self, conn: Conn) -> bool:
-        return sockets.waiting(conn.sock) is None  # else it has ended, or says what nobody asked for
-
     def _open(self, key: Key, now: float) -> Conn | None:
         if self.count >= self.most and not self._evict():
             self.metrics.add("south_full")
