Discovery's objects told apart by their syntax; silence noticed after 3 s and asked about twice

A silent watch was noticed after 4.5 s, then waited for up to 2 s (the wait doubled with each break and went back only when a list was told) and 1 s for the connection: up to 7.5 s, where what is missed counts as told after 6. Change: net/objects tells objects apart by braces outside strings, each byte looked at once (ijson: 11 ms a start and one more library; raw_decode: again from the start with each part; jiter: does not tell where an object ended). net/watching is the clock without I/O: 3.0 + 0.2 + 1.0 + 0.3 + 1.0 = 5.5 s for two new calls; a connection that does not come up is given up after 1 s, a crowded discovery is given 2 and 2.5 s from the third call on.

--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import random
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import httptools
@@ -15,13 +16,12 @@
 from ..policy import interface as i
 from . import sockets
 from .loop import READ, WRITE, Loop, Timer
+from .objects import Objects
 from .pool import Pool
+from .watching import Watch
 
 STATES = {"SERVING": "up", "DRAINING": "draining", "DELETED": "gone"}
-SILENT = 4.5  # s; an empty line comes every 2 s, so a second one is missing
-UNLISTED = 1.0  # s for a connection to come up, and for the whole list to come
-AGAIN, AGAIN_MOST = 0.1, 2.0  # s before a watch that broke is asked for again: at first, and doubled up to
-LINE = 1 << 22  # bytes of one line at most
+LONGEST = 1 << 22  # bytes of one list at most
 
 
 class Inventory:
@@ -85,15 +85,14 @@
     def __init__(self, loop: Loop, pool: Pool, inventory: Inventory, at: Address, metrics: Metrics, log: Any,
                  rng: random.Random) -> None:
         self.loop, self.pool, self.inventory, self.at = loop, pool, inventory, at
-        self.metrics, self.log, self.rng = metrics, log, rng
-        self._wait = AGAIN
+        self.metrics, self.log = metrics, log
+        self._watch = Watch(rng)
         self.heard = False  # discovery has answered since the start
         self._sock: socket.socket | None = None
         self._parser: Any = None
-        self._line = b""
+        self._objects = Objects(LONGEST)
         self._listed = False
         self._up = False
-        self._began = self._last = 0.0
         self.heard_at = 0.0  # when the source last said anything, a sign of life too
         self._silence: Timer | None = None
         self._stopped = False
@@ -106,13 +105,13 @@
             return
         if not self.heard and self.inventory.version > 0:
             self._listed = True
-        self._began = self._last = self.loop.clock()
-        self._line, self._up = b"", False
+        self._watch.asking(self.loop.clock(), not self._listed)
+        self._objects, self._up = Objects(LONGEST), False
         self._parser = httptools.HttpResponseParser(self)
         try:
             self._sock = sock = sockets.connect(self.at)
         except OSError:
-            self._later()
+            self.loop.call_in(self._watch.broken(self.loop.clock()), self.start)
             return
         self.loop.register(sock, WRITE, self._event, urgent=True)
         self._watch_silence()
@@ -126,13 +125,10 @@
         self.start()
 
     def _watch_silence(self) -> None:
-        self._silence = self.loop.call_at(self._last + self._patience(), self._silent)
-
-    def _patience(self) -> float:
-        return SILENT if self._up and self._listed else UNLISTED
+        self._silence = self.loop.call_at(self._watch.due(), self._silent)
 
     def _silent(self) -> None:
-        if self.loop.clock() - self._last >= self._patience():
+        if self.loop.clock() >= self._watch.due():
             self._broken("silent")
         else:
             self._watch_silence()
@@ -144,6 +140,7 @@
                 if error := sockets.failed(self._sock):
                     raise OSError(error, "connect")
                 self._up = True
+                self._watch.connected()
                 target = f"/v1/endpoints?watch=1&from={self.inventory.version}" if self._listed else "/v1/endpoints"
                 self._sock.send(f"GET {target} HTTP/1.1\r\nHost: {self.at[0]}:{self.at[1]}\r\n\r\n".encode())
                 self.loop.want(self._sock, READ, self._event)
@@ -153,7 +150,8 @@
                 count = self._sock.recv_into(buffer)
                 if not count:
                     raise OSError("ended")
-                self._last = self.heard_at = self.loop.clock()
+                self.heard_at = self.loop.clock()
+                self._watch.heard(self.heard_at)
                 self._parser.feed_data(memoryview(buffer)[:count])
             finally:
                 self.pool.give(buffer)
@@ -164,19 +162,17 @@
                 self._broken(str(error))
 
     def on_body(self, part: bytes) -> None:
-        *lines, self._line = (self._line + part).split(b"\n")
-        for line in lines:
-            self._told(line)
-        if len(self._line) > LINE:
-            raise ValueError("a line too long")
+        if self._parser.get_status_code() == 200:
+            with self._refused():
+                for data in self._objects.feed(part):
+                    self._told(data)
 
     def on_message_complete(self) -> None:
         """The list is whole, or the watch has ended."""
         status = self._parser.get_status_code()
         good = status == 200
-        line, self._line = self._line, b""
-        if good and line.strip():
-            self._told(line)
+        with self._refused():
+            self._objects.end()
         if good and not self._listed:
             self._listed = True
             self.loop.call_soon(self._again)
@@ -184,17 +180,21 @@
             self._listed = self._listed and (good or status >= 429)  # turned away: what is held is still good
             self.loop.call_soon(lambda: self._broken(f"ended with {status}"))
 
-    def _told(self, line: bytes) -> None:
-        if not line.strip() or self._parser.get_status_code() != 200:
-            return
+    def _told(self, data: bytes) -> None:
+        self.inventory.told(json.loads(data))
+        self.heard = True
+        self._watch.told()
+        self.metrics.add("lists")
+
+    @contextlib.contextmanager
+    def _refused(self) -> Iterator[None]:
+        """What cannot be read may have been a change that is missing from now on: the whole list is asked for."""
         try:
-            self.inventory.told(json.loads(line))
+            yield
         except (ValueError, TypeError) as error:
             self.log.error("discovery", error=str(error))
             self._listed = False
             raise
-        self.heard, self._wait = True, AGAIN
-        self.metrics.add("lists")
 
     def _again(self) -> None:
         self._close()
@@ -206,12 +206,7 @@
         self.metrics.add("watch_breaks")
         self.log.info("watch broken", why=why)
         self._close()
-        self._later()
-
-    def _later(self) -> None:
-        """With full jitter: many ingresses that ask again in step keep a crowded discovery crowded."""
-        self.loop.call_in(self.rng.uniform(0.0, self._wait), self.start)
-        self._wait = min(AGAIN_MOST, 2 * self._wait)
+        self.loop.call_in(self._watch.broken(self.loop.clock()), self.start)
 
     def _close(self) -> None:
         if self._sock is not None:
