Agreed log, records by gossip and machines out for work, over membership; net in virtual time

Change: members/ gains records and a station with a table of parts; consensus/ a Raft log (pre-vote, check-quorum, leases, one-at-a-time voters, learners, a seal and a proof of the disk before it votes) over LMDB, with followers; maintenance/ the permits applied from the log, their bounds and order, each ingress's clerk, calls of the control API; simulation/ net, disks, clocks and faults in virtual time; standins/links relays between real processes. All of it off without its tables in the operator's file.

--- /dev/null
+++ b/benchmarks/work_order.py
@@ -0,0 +1,424 @@
+"""Machines taken out for work by real processes while links drop, processes die, stand still and come back.
+
+    python -m benchmarks.work_order --seconds 60 [--instances 5] [--machines 6] [--seed 1] [--json]
+
+Each ingress is a process of its own; the first three (five from nine on) vote. Between every ordered pair stands a
+relay (standins/links) that the script of the seed cuts, stalls, slows and lets lose; processes get SIGKILL (their disk kept,
+or lost), SIGSTOP and SIGCONT. Operators ask whichever process answers, workers begin what is clear and finish it, and
+clients keep on sending. The sim servers count by themselves what reaches a machine that is away. Exits 1 where a bound
+is broken:
+
+    more machines out than allowed, in all or in a zone     0
+    two tokens in use for one machine                       0
+    new work to a machine over 1 s after its word            0
+    work on a machine that was not clear                    0
+    a request not done once a quorum could talk for 10 s    0
+    messages that were taken and not answered               0, but for those in hand where a process was killed
+    leader killed to the next grant, median                 3 s"""
+
+from __future__ import annotations
+
+import argparse
+import base64
+import json
+import os
+import random
+import shutil
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from benchmarks.plan_changes import ROOT, free_ports
+from brackenpulley.fleet.caller import Call
+from brackenpulley.metrics import Metrics
+from brackenpulley.net.loop import Loop
+from brackenpulley.serve import wall_clock
+from brackenpulley.simulation.script import Line, drawn, parse
+from brackenpulley.standins.clients import Firm, Load
+from brackenpulley.standins.links import Relays
+from brackenpulley.standins.servers import Counter, Discovery, SimServer
+from brackenpulley.standins.settings import settings
+
+OUT, ZONE, SETTLE = 2, 1, 1.0
+SLACK = 1.0  # s after the word
+GRANT = 3.0  # s, median
+RATE = 40.0  # messages a second over all ingresses
+ZONES = ("hall-a", "hall-b", "hall-c")
+
+
+class Process:
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number, self.name = fleet, number, f"n{number}"
+        self.host = f"127.{10 + number // 200}.{1 + number % 200}.1"
+        self.control = ("127.0.0.1", fleet.ports[3 * number])
+        self.at = ("127.0.0.1", fleet.ports[3 * number + 1])
+        self.address = fleet.relays.add(self.name, (self.host, fleet.ports[3 * number + 2]))
+        self.process: subprocess.Popen[bytes] | None = None
+        self.stopped = False
+        self.status: dict[str, Any] = {}
+        self.lives = 0
+
+    @property
+    def folder(self) -> Path:
+        return self.fleet.folder / self.name
+
+    def write(self) -> None:
+        """Its files; who seeds and who votes is known once all have their relays."""
+        fleet = self.fleet
+        self.folder.mkdir()
+        raw = settings(fleet.size, self.number)
+        for plan in raw["TiersOfService"]:
+            plan.update(QuotaRate=1e6, Burst=1e6)
+        (self.folder / "config.json").write_text(json.dumps({
+            "name": self.name, "listen": f"{self.at[0]}:{self.at[1]}", "discovery": fleet.discovery.listener.text,
+            "counter": fleet.counter.listener.text, "settings": raw}))
+        seeds = [one.address for one in fleet.processes[:3]]
+        voters = "\n".join(f'{one.name} = "{one.address}"' for one in fleet.processes[:fleet.voters])
+        disk = f'path = "{self.folder}/log"\n' if self.number < fleet.voters else ""
+        (self.folder / "operator.toml").write_text(
+            f'[control]\nlisten = "{self.control[0]}:{self.control[1]}"\n'
+            f'[members]\nfleet = "trial"\nlisten = "{self.host}:{self.fleet.relays.real[self.name][1]}"\n'
+            f'advertise = "{self.address}"\nseeds = {json.dumps(seeds)}\nkeys = "{fleet.folder}/keys"\n'
+            f'[consensus]\n{disk}[consensus.voters]\n{voters}\n'
+            f'[maintenance]\nout = {OUT}\nzone = {ZONE}\nreserve = 0.0\nsettle_s = {SETTLE}\nlate_s = 120.0\n')
+
+    def start(self, how: str = "kept") -> None:
+        if self.process is not None and self.process.poll() is None:
+            return
+        if how == "lost" and self.fleet.may_lose(self):
+            shutil.rmtree(self.folder / "log", ignore_errors=True)
+        self.lives += 1
+        with open(self.folder / "log.txt", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "brackenpulley", "serve", "--config", str(self.folder / "config.json"),
+                 "--operator", str(self.folder / "operator.toml")], cwd=ROOT, stdout=log, stderr=log)
+        self.stopped = False
+
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.fleet.killed.append((time.monotonic(), self.number))
+            self.status = {}
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+            self.stopped = number == signal.SIGSTOP
+
+    def call(self, method: str, path: str, body: Any, done: Callable[[int, Any], None], patience: float = 5.0) -> None:
+        def heard(status: int, data: bytes) -> None:
+            try:
+                done(status, json.loads(data) if status else {})
+            except ValueError:
+                done(0, {})
+        Call(self.fleet.loop, self.control, method, path, json.dumps(body).encode() if body else b"", patience, heard)
+
+
+class Fleet:
+    def __init__(self, size: int, seed: int, machines: int) -> None:
+        self.size, self.rng, self.voters = size, random.Random(seed), 5 if size >= 9 else 3
+        self.folder = Path(tempfile.mkdtemp(prefix="bracken-work-"))
+        (self.folder / "keys").write_text(base64.b64encode(b"w" * 32).decode() + "\n")
+        (self.folder / "keys").chmod(0o600)
+        self.clock = wall_clock()
+        self.loop = Loop(self.clock, Metrics(), structlog.get_logger())
+        self.relays = Relays(self.loop, seed)
+        self.servers = [SimServer(self.loop, f"s-{n}", random.Random(seed + n), 0.02) for n in range(machines)]
+        self.discovery, self.counter = Discovery(self.loop, self.servers), Counter(self.loop)
+        rows = self.discovery._rows
+        self.discovery._rows = lambda servers: [  # type: ignore[method-assign]
+            {**row, "zone": ZONES[int(str(row["instanceId"])[2:]) % 3]} for row in rows(servers)]
+        self.ports = free_ports(3 * size)
+        self.processes: list[Process] = []
+        for number in range(size):
+            self.processes.append(Process(self, number))
+        for one in self.processes:
+            one.write()
+        firms = [Firm(n + 1, "county", RATE / 20, size, 0) for n in range(20)]
+        self.load = Load(self.loop, [one.at for one in self.processes], firms, self.rng)
+        self.killed: list[tuple[float, int]] = []
+        self.wrong: list[str] = []
+        self.jobs: dict[str, dict[str, Any]] = {}  # the newest row of each machine that was seen
+        self.index = 0
+        self.words: dict[tuple[str, int], float] = {}  # machine and token: when its clearing was first seen anywhere
+        self.begun: set[tuple[str, int]] = set()
+        self.worked: set[tuple[str, int]] = set()
+        self.late: dict[str, float] = {}  # by server: the longest after its word that work still came
+        self.working: dict[str, int] = {}  # servers that a worker works on, with the token
+        self.grants: list[float] = []  # s from a leader's death to the next token
+        self._leader_died = 0.0
+        self.leader = ""
+        self.going = True
+
+    def named(self, name: str) -> Process:
+        return next(one for one in self.processes if one.name == (self.leader if name == "leader" else name))
+
+    def may_lose(self, which: Process) -> bool:
+        """All other voters are there and sure of their disks."""
+        others = [one.status.get("agreement", {}) for one in self.processes[:self.voters] if one is not which]
+        return all(row.get("proved") and row.get("role") in ("leader", "follower") for row in others)
+
+    # Watching.
+
+    def watch(self) -> None:
+        for one in self.processes:
+            self._ask(one)
+
+    def _ask(self, one: Process) -> None:
+        if not self.going:
+            return
+
+        def heard(status: int, body: Any) -> None:
+            if status == 200:
+                one.status = body
+                agreed = body.get("agreement", {})
+                if agreed.get("role") == "leader" and agreed.get("current"):
+                    self.leader = one.name
+                one.call("GET", "/v1/work", None, rows)
+            else:
+                self.loop.call_in(0.15, lambda: self._ask(one))
+
+        def rows(status: int, body: Any) -> None:
+            if status == 200:
+                index = one.status.get("agreement", {}).get("index", 0)
+                self._seen(one, index, body["machines"])
+            self.loop.call_in(0.15, lambda: self._ask(one))
+        one.call("GET", "/v1/status", None, heard, 2.0)
+
+    def _seen(self, one: Process, index: int, rows: list[dict[str, Any]]) -> None:
+        now = time.monotonic()
+        for row in rows:
+            if row["state"] == "clearing" and row["token"]:
+                self.words.setdefault((row["id"], row["token"]), now)
+        if index < self.index:
+            return
+        self.index = index
+        out = [row for row in rows if row["state"] in ("clearing", "clear", "at work", "returning", "stuck")]
+        zones = [row["zone"] for row in out]
+        if len(out) > OUT or max([0, *(zones.count(zone) for zone in zones)]) > ZONE:
+            self.wrong.append(f"out at once: {[(row['id'], row['state'], row['zone']) for row in out]}")
+        for row in rows:
+            old = self.jobs.get(row["id"])
+            if old is not None and row["token"] < old["token"]:
+                self.wrong.append(f"{row['id']}: token {row['token']} after {old['token']}")
+            if old is not None and row["token"] > old["token"] and self._leader_died:
+                self.grants.append(now - self._leader_died)
+                self._leader_died = 0.0
+            self.jobs[row["id"]] = row
+
+    # Operators and workers.
+
+    def ask(self, path: str, body: Any, done: Callable[[], bool]) -> None:
+        """Of whichever process is up, until it is so."""
+        if done() or not self.going:
+            return
+        there = [one for one in self.processes if not one.stopped and one.process and one.process.poll() is None]
+        again = lambda status, answer: self.loop.call_in(0.2, lambda: self.ask(path, body, done))  # noqa: E731
+        if there:
+            self.rng.choice(there).call("POST", path, body, again)
+        else:
+            again(0, None)
+
+    def order(self, number: int) -> None:
+        """A machine is one sim server; it comes again once it is done."""
+        name = f"h{number}"
+        self.ask("/v1/work", {"id": name, "by": "trial", "servers": [f"s-{number}"], "zone": ZONES[number % 3],
+                              "urgency": number % 2}, lambda: name in self.jobs)
+
+    def work(self) -> None:
+        for name, row in list(self.jobs.items()):
+            server = row["servers"][0]
+            if row["state"] == "clear" and (name, row["token"]) not in self.begun:
+                self.begun.add((name, row["token"]))
+                self.ask(f"/v1/work/{name}/begin", {"token": row["token"]},
+                         lambda name=name: self.jobs[name]["state"] != "clear")  # type: ignore[misc]
+            elif row["state"] == "at work" and (name, row["token"]) not in self.worked:
+                self.worked.add((name, row["token"]))
+                self._begin(name, server, row["token"])
+        if self.going:
+            self.loop.call_in(0.1, self.work)
+
+    def _begin(self, name: str, server: str, token: int) -> None:
+        """The machine is worked on: from now on nothing may reach it."""
+        self.working[server] = token
+
+        def over() -> None:
+            self.working.pop(server, None)
+            self.ask(f"/v1/work/{name}/finish", {"token": token}, lambda: self.jobs[name]["state"] != "at work")
+        self.loop.call_in(0.8, over)
+
+    def audit(self) -> None:
+        """What reached a server while it was away, by the server's own count."""
+        for server in self.servers:
+            def script(rng: random.Random, server: SimServer = server) -> str:
+                now = time.monotonic()
+                if server.name in self.working:
+                    self.wrong.append(f"{server.name} got work while it was worked on")
+                row = self.jobs.get("h" + server.name[2:])
+                if row is not None and row["state"] in ("clearing", "clear", "at work"):
+                    since = self.words.get((row["id"], row["token"]), now)
+                    self.late[server.name] = max(self.late.get(server.name, 0.0), now - since)
+                return "ok"
+            server.script = script
+
+    # Faults.
+
+    def do(self, line: Line) -> None:
+        words, links = line.words, self.relays.links
+        if line.what == "heal":
+            links.heal()
+            links.usual = type(links.usual)(delay=0.0, spread=0.0)
+        elif line.what in ("loss", "double"):
+            part = float(words[1])
+            links.usual = type(links.usual)(0.0, 0.0, part if line.what == "loss" else 0.0,
+                                            part if line.what == "double" else 0.0)
+        elif line.what == "part":
+            sides = [{self.named(name).name for name in side.split(",")} for side in words]
+            links.part(sides[0], sides[1])
+        elif line.what in ("cut", "stall", "slow"):
+            a, b = self.named(words[0]).name, self.named(words[1]).name
+            if line.what == "cut":
+                links.change(a, b, cut=True)
+            elif line.what == "stall":
+                links.change(a, b, held=time.monotonic() + float(words[2]))
+            else:
+                links.change(a, b, delay=float(words[2]))
+        else:
+            one = self.named(words[0])
+            if line.what == "kill":
+                if one.name == self.leader:
+                    self._leader_died = time.monotonic()
+                one.kill()
+                self.load.down.add(one.number)
+            elif line.what == "start":
+                one.start(words[1])
+            elif line.what in ("stop", "go"):
+                one.signal(signal.SIGSTOP if line.what == "stop" else signal.SIGCONT)
+
+    def turn(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.loop.turn(0.01)
+
+    def until(self, done: Callable[[], bool], patience: float) -> bool:
+        end = time.monotonic() + patience
+        while not done():
+            if time.monotonic() > end:
+                return False
+            self.loop.turn(0.01)
+        return True
+
+    def entered(self) -> bool:
+        return all(one.status.get("maintenance", {}).get("entered") and one.status.get("ready")
+                   for one in self.processes)
+
+    def front(self) -> None:
+        """As the platform's: it admits an ingress that says it is ready, and notices a dead one late."""
+        for one in self.processes:
+            ready = bool(one.status.get("ready")) and one.process is not None and one.process.poll() is None
+            (self.load.down.discard if ready else self.load.down.add)(one.number)
+        if self.going:
+            self.loop.call_in(0.2, self.front)
+
+    def close(self, keep: bool = False) -> None:
+        self.going = False
+        self.load.stop()
+        for one in self.processes:
+            if one.process is not None and one.process.poll() is None:
+                one.process.kill()
+                one.process.wait()
+        self.load.close()
+        self.relays.stop()
+        for listener in (self.discovery.listener, self.counter.listener, *(s.listener for s in self.servers)):
+            listener.stop()
+        self.loop.close()
+        if not keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def trial(size: int, machines: int, seconds: float, seed: int, script: str = "") -> dict[str, Any]:
+    """`script`: instead of what the seed draws; see simulation/script."""
+    fleet = Fleet(size, seed, machines)
+    wrong = fleet.wrong
+    try:
+        for one in fleet.processes:
+            one.start()
+        fleet.watch()
+        if not fleet.until(fleet.entered, 30.0):
+            wrong.append(f"not all entered in 30 s: {[one.status.get('agreement') for one in fleet.processes]}")
+        fleet.audit()
+        fleet.front()
+        fleet.load.start()
+        names = [one.name for one in fleet.processes]
+        lines = parse(script) if script else [
+            line for line in drawn(fleet.rng, names, seconds, 3.0, size - 1)
+            if line.what in ("kill", "start", "stop", "go", "cut", "part", "stall", "loss", "heal")]
+        begin = time.monotonic()
+        for line in lines:
+            fleet.loop.call_in(line.at, lambda line=line: fleet.do(line))  # type: ignore[misc]
+        for number in range(machines):
+            fleet.loop.call_in(0.2 + 0.4 * number, lambda number=number: fleet.order(number))  # type: ignore[misc]
+        fleet.work()
+        fleet.turn(seconds * 2 / 3)
+        for one in fleet.processes:
+            if one.process is not None and one.process.poll() is not None:
+                one.start()
+            elif one.stopped:
+                one.signal(signal.SIGCONT)
+        calm = time.monotonic()
+
+        def done() -> bool:
+            return len(fleet.jobs) == machines and all(row["state"] == "done" for row in fleet.jobs.values())
+        if not fleet.until(done, max(20.0, 6.0 * machines)):
+            wrong.append(f"not done: {[(r['id'], r['state'], r['why'], r['missing']) for r in fleet.jobs.values()]}")
+        finished = time.monotonic() - calm
+        fleet.load.stop()
+        fleet.until(lambda: not fleet.load.out, 12.0)
+        # A process that is killed takes what it had in hand with it, and what came to it until the front saw that.
+        excused = [(when - 8.0 - begin, number) for when, number in fleet.killed]
+        lost = [one for one in fleet.load.tries if not one.status and one.taken and not any(
+            number == one.ingress for _, number in excused)]
+        if lost:
+            wrong.append(f"{len(lost)} messages lost at ingresses that were not killed")
+        late = {name: round(after, 2) for name, after in fleet.late.items() if after > SLACK + 0.5}
+        if late:
+            wrong.append(f"new work after the word, in s: {late}")
+        grants = [round(after, 2) for after in fleet.grants]
+        if len(grants) >= 3 and statistics.median(grants) > GRANT:
+            wrong.append(f"leader killed to next grant: {grants}")
+        return {"seed": seed, "instances": size, "machines": machines, "script": [str(line) for line in lines],
+                "tokens": sum(row["token"] > 0 for row in fleet.jobs.values()), "doneAfterCalmS": round(finished, 1),
+                "killed": len(fleet.killed), "grantsAfterDeathS": grants, "latestWorkS": round(
+                    max(fleet.late.values(), default=0.0), 2),
+                "tries": len(fleet.load.tries), "served": sum(one.status == 200 for one in fleet.load.tries),
+                "relayed": fleet.relays.passed, "relaysLost": fleet.relays.lost, "wrong": wrong}
+    finally:
+        fleet.close(keep=bool(wrong))
+
+
+def main() -> int:
+    words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    words.add_argument("--seconds", type=float, default=60.0)
+    words.add_argument("--instances", type=int, default=5)
+    words.add_argument("--machines", type=int, default=6)
+    words.add_argument("--seed", type=int, default=1)
+    words.add_argument("--script", default="", help="a file with faults instead of those that the seed draws")
+    words.add_argument("--json", action="store_true")
+    told = words.parse_args()
+    report = trial(told.instances, told.machines, told.seconds, told.seed,
+                   Path(told.script).read_text() if told.script else "")
+    print(json.dumps(report, indent=None if told.json else 1))
+    return int(bool(report["wrong"]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackenpulley/control/api.py
+++ b/brackenpulley/control/api.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from ..address import ConfigError, address
+
 T = TypeVar("T")
 At = re.compile(r" - at `\$\.?(.*)`$")
 
@@ -65,6 +67,29 @@
         raise ApiError(400, "body", f"not JSON: {error}") from None
 
 
+class Later:
+    """What a handler returns where the answer comes later; whoever serves the call says where it is to go."""
+
+    def __init__(self) -> None:
+        self.reply: Reply | None = None
+        self.heard: Callable[[Reply], None] = lambda reply: None
+
+    def answer(self, body: Any, status: int = 200) -> None:
+        self._over(Reply(status, msgspec.json.encode(body) + b"\n"))
+
+    def fail(self, error: ApiError) -> None:
+        self._over(fault(error))
+
+    def _over(self, reply: Reply) -> None:
+        self.reply = reply
+        self.heard(reply)
+
+
+def fault(error: ApiError) -> Reply:
+    shown = {"error": {"field": error.field, "text": error.text}}
+    return Reply(error.status, msgspec.json.encode(shown) + b"\n", error.after)
+
+
 Handler = Callable[[Request], Any]
 
 
@@ -77,7 +102,7 @@
     def add(self, method: str, path: str, handler: Handler) -> None:
         self.rows.setdefault(path, {})[method] = handler
 
-    def answer(self, method: str, target: str, body: bytes) -> Reply:
+    def answer(self, method: str, target: str, body: bytes) -> Reply | Later:
         path, _, query = target.partition("?")
         try:
             found = self._find(path)
@@ -88,11 +113,12 @@
                 raise ApiError(405, "method", f"{method[:20]}: {path[:100]} takes {', '.join(sorted(methods))}")
             told = dict(pair.partition("=")[::2] for pair in query.split("&") if pair)
             answer = methods[method](Request(method, path, told, body, parts))
+            if isinstance(answer, Later):
+                return answer if answer.reply is None else answer.reply
             status, found_body = answer if isinstance(answer, tuple) else (200, answer)
             return Reply(status, msgspec.json.encode(found_body) + b"\n")
         except ApiError as error:
-            shown = {"error": {"field": error.field, "text": error.text}}
-            return Reply(error.status, msgspec.json.encode(shown) + b"\n", error.after)
+            return fault(error)
 
     def _find(self, path: str) -> tuple[dict[str, Handler], tuple[str, ...]] | None:
         if path in self.rows:
@@ -315,13 +341,111 @@
     routes.add("POST", "/v1/members/keys", key)
 
 
+class VoterCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    address: str = ""  # where its membership listens; "" = it goes
+
+
+def agreement_routes(routes: Routes, service: Any) -> None:
+    """`service` is a consensus.service.AgreementService."""
+    def change(request: Request) -> Any:
+        told = decode(request.body, VoterCall)
+        if told.address:
+            try:
+                address(told.address, "address")
+            except ConfigError as error:
+                raise ApiError(400, "address", str(error)) from None
+        if said := service.change(told.name, told.address):
+            raise ApiError(409, "name", said)
+        return 202, service.status()
+
+    def trust(request: Request) -> Any:
+        if not service.trust():
+            raise ApiError(409, "voter", "no voter that is unsure of its disk")
+        return service.status()
+
+    routes.add("GET", "/v1/agreement", lambda request: service.status())
+    routes.add("POST", "/v1/agreement/voters", change)
+    routes.add("POST", "/v1/agreement/trust", trust)
+
+
+class WorkCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Either servers, or an ingress and its place."""
+
+    id: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+    by: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+    servers: list[str] = []
+    ingress: str = ""
+    place: Annotated[int, msgspec.Meta(ge=-1, le=10_000)] = -1
+    zone: str = ""
+    urgency: Annotated[int, msgspec.Meta(ge=0, le=9)] = 0
+    deadline: float = 0.0  # Unix time; 0 = none
+
+
+class ByCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    by: Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+
+
+class TokenCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    token: int
+
+
+def work_routes(routes: Routes, service: Any) -> None:
+    """`service` is a maintenance.service.MaintenanceService. What changes something is answered once it is agreed."""
+    from ..maintenance.permits import Ask, Begin, Command, Finish, Override, Withdraw
+    patience = 4.0  # s: under what `control/client` waits
+
+    def agreed(command: Command) -> Any:
+        later = Later()
+
+        def done(answer: Any) -> None:
+            if answer is None:
+                later.fail(ApiError(503, "agreement", f"nothing was agreed within {patience:g} s; it may be later: "
+                                    "ask again", 1.0))
+            elif "error" in answer:
+                later.fail(ApiError(404 if answer["error"].startswith("no machine") else 409, answer["field"],
+                                    answer["error"]))
+            else:
+                later.answer(answer)
+        service.propose(command, done, patience)
+        return later
+
+    def ask(request: Request) -> Any:
+        told = decode(request.body, WorkCall)
+        if bool(told.servers) == bool(told.ingress) or bool(told.ingress) == (told.place < 0):
+            raise ApiError(400, "servers", "either servers, or an ingress and its place")
+        return agreed(Ask(told.id, told.by, told.servers, told.ingress, told.place, told.zone, told.urgency,
+                          told.deadline))
+
+    def one(request: Request) -> Any:
+        job = service.permits.jobs.get(request.parts[0])
+        if job is None:
+            raise ApiError(404, "id", f"no machine {request.parts[0][:100]}")
+        return service.permits.row(job)
+
+    routes.add("GET", "/v1/work", lambda request: {
+        "machines": [service.permits.row(job) for job in service.permits.jobs.values()],
+        "ingresses": service.permits.roster})
+    routes.add("GET", "/v1/work-plan", lambda request: {"plan": service.plan()})
+    routes.add("POST", "/v1/work", ask)
+    routes.add("GET", "/v1/work/{}", one)
+    routes.add("POST", "/v1/work/{}/begin",
+               lambda request: agreed(Begin(request.parts[0], decode(request.body, TokenCall).token)))
+    routes.add("POST", "/v1/work/{}/finish",
+               lambda request: agreed(Finish(request.parts[0], decode(request.body, TokenCall).token)))
+    routes.add("POST", "/v1/work/{}/withdraw",
+               lambda request: agreed(Withdraw(request.parts[0], decode(request.body, ByCall).by)))
+    routes.add("POST", "/v1/work/{}/override",
+               lambda request: agreed(Override(request.parts[0], decode(request.body, ByCall).by)))
+
+
 def common_routes(routes: Routes, daemon: Any) -> None:
     began = time.monotonic()
 
     def status(request: Request) -> Any:
         parts = {"plans": daemon.plans, "reservations": daemon.reservations, "leases": daemon.leases,
                  "ledger": daemon.ledger, "health": daemon.health, "gateways": daemon.gateways,
-                 "members": daemon.members}
+                 "members": daemon.members, "agreement": daemon.agreement, "maintenance": daemon.maintenance}
         return {"name": daemon.config.name, "upSeconds": round(time.monotonic() - began, 3),
                 "ready": daemon.ready() and not daemon.ending, "ending": daemon.ending,
                 "held": len(daemon.ingress.held), "clients": len(daemon.north.clients),
--- a/brackenpulley/control/server.py
+++ b/brackenpulley/control/server.py
@@ -14,7 +14,7 @@
 from ..net.loop import READ, WRITE, Loop
 from ..net.pool import Pool
 from ..net.requests import Fault, Reader, encode
-from .api import Routes
+from .api import Later, Reply, Routes
 
 MOST = 16  # connections at once; the longest unused makes room
 IDLE = 30.0  # s without a byte after which a connection is closed
@@ -24,12 +24,13 @@
 
 
 class Caller:
-    __slots__ = ("sock", "reader", "out", "keep", "since", "ended")
+    __slots__ = ("sock", "reader", "out", "keep", "since", "ended", "later")
 
     def __init__(self, sock: socket.socket, now: float) -> None:
         self.sock, self.reader, self.since = sock, Reader(), now
         self.out = b""
         self.keep = True
+        self.later: Later | None = None  # an answer that is still to come; what was asked after it waits
         self.ended = False  # its last answer is out; what it still sends is read away
 
 
@@ -118,21 +119,38 @@
         if caller.reader.waits_to_continue:
             caller.reader.waits_to_continue = False
             caller.out += b"HTTP/1.1 100 Continue\r\n\r\n"
-        while caller.reader.whole and caller.keep:
-            payload, keep = caller.reader.whole.popleft()
-            caller.keep = keep
-            self.metrics.add("control_calls")
-            reply = self.routes.answer(payload.method.decode("ascii", "replace"),
-                                       payload.target.decode("ascii", "replace"), payload.body)
-            if reply.status >= 400:
-                self.metrics.add("control_faults")
-            caller.out += encode(reply.status, reply.body, keep, reply.after, JSON)
+        self._answer_all(caller)
         if status and caller.keep:
             caller.keep = False
             text = b'{"error":{"field":"body","text":"over 64 KiB"}}\n' if status == 413 else b""
             caller.out += encode(status, text, False, 0.0, JSON if text else None)
         self._flush(caller)
 
+    def _answer_all(self, caller: Caller) -> None:
+        """One after the other, until one has to be waited for."""
+        while caller.reader.whole and caller.keep and caller.later is None:
+            payload, caller.keep = caller.reader.whole.popleft()
+            self.metrics.add("control_calls")
+            answer = self.routes.answer(payload.method.decode("ascii", "replace"),
+                                        payload.target.decode("ascii", "replace"), payload.body)
+            if isinstance(answer, Later):
+                keep, caller.later, caller.keep = caller.keep, answer, True
+                answer.heard = lambda reply, keep=keep: self._later(caller, reply, keep)  # type: ignore[misc]
+            else:
+                self._reply(caller, answer)
+
+    def _reply(self, caller: Caller, reply: Reply) -> None:
+        if reply.status >= 400:
+            self.metrics.add("control_faults")
+        caller.out += encode(reply.status, reply.body, caller.keep, reply.after, JSON)
+
+    def _later(self, caller: Caller, reply: Reply, keep: bool) -> None:
+        if caller in self.callers:
+            caller.later, caller.keep, caller.since = None, keep, self.loop.clock()
+            self._reply(caller, reply)
+            self._answer_all(caller)
+            self._flush(caller)
+
     def _flush(self, caller: Caller) -> None:
         try:
             while caller.out:
--- a/brackenpulley/extras.py
+++ b/brackenpulley/extras.py
@@ -101,6 +101,18 @@
         d.members = DaemonMembers(d.loop, told, d.config.name, d.gateways, d.metrics, d.log)
 
 
+def agreement(d: Daemon) -> None:
+    if (told := d.config.operator.consensus) is not None:
+        from .consensus.service import AgreementService
+        d.agreement = AgreementService(d.loop, told, d.config.name, d.members, d.metrics, d.log)
+
+
+def maintenance(d: Daemon) -> None:
+    if (told := d.config.operator.maintenance) is not None:
+        from .maintenance.service import MaintenanceService
+        d.maintenance = MaintenanceService(d, told, d.agreement)
+
+
 def control(d: Daemon) -> None:
     if d.config.operator.control is None:
         return
@@ -109,7 +121,8 @@
     routes = api.Routes()
     rows: list[tuple[Any, Any]] = [(d, api.common_routes), (d.plans, api.plan_routes),
                                    (d.reservations, api.reservation_routes), (d.ledger, api.ledger_routes),
-                                   (d.gateways, api.gateway_routes), (d.members, api.member_routes)]
+                                   (d.gateways, api.gateway_routes), (d.members, api.member_routes),
+                                   (d.agreement, api.agreement_routes), (d.maintenance, api.work_routes)]
     for part, add in rows:
         if part is not None:
             add(routes, part)
@@ -117,4 +130,4 @@
 
 
 EXTRAS = (authz_server, authz_client, xds_file, plans, reservations, leases, ledger, seconds, health, gateways, members,
-          control)
+          agreement, maintenance, control)
--- a/brackenpulley/members/protocol.py
+++ b/brackenpulley/members/protocol.py
@@ -153,7 +153,7 @@
         self.incarnation += 1
         update = self.self_update()
         self._say(update)
-        for member in self._some(self.timing.fanout * 2):
+        for member in self.some(self.timing.fanout * 2):
             self._send(member.address, Tell([update]))
         return self._effects()
 
@@ -166,7 +166,7 @@
             if not body.answer:
                 self._send(source, Sync(self._everything(), answer=True), stream=True)
             return self._effects()
-        if not isinstance(body, Nack):
+        if isinstance(body, Ping | Ack | Ask | Tell):
             for update in body.updates:
                 self._heard(update)
         if isinstance(body, Ping):
@@ -200,14 +200,14 @@
         if self._gossip_at <= self.now:
             self._gossip_at = self.now + self.timing.gossip
             if len(self.gossip):
-                for member in self._some(self.timing.fanout):
+                for member in self.some(self.timing.fanout):
                     if news := self._news():
                         self._send(member.address, Tell(news))
         if self._sync_at <= self.now:
             # An exchange grows with the fleet, so it comes as much less often: what it costs a second stays the same.
             grown = max(1.0, self.size / SYNC_SIZE)
             self._sync_at = self.now + self.timing.sync * grown * (0.75 + 0.5 * self.rng.random())
-            for member in self._some(1):
+            for member in self.some(1):
                 self._send(member.address, Sync(self._everything()), stream=True)
         if self._rejoin_at <= self.now:
             self._rejoin_at = self.now + self.timing.rejoin * (0.75 + 0.5 * self.rng.random())
@@ -351,15 +351,15 @@
         return [self.self_update(), *(Update(m.id, m.address, m.incarnation, m.state, self.id)
                                       for m in self.members.values())]
 
-    def _some(self, count: int) -> list[Member]:
+    def some(self, count: int) -> list[Member]:
         alive = self.alive()
         return self.rng.sample(alive, min(count, len(alive)))
 
     def _news(self) -> list[Update]:
-        return self.gossip.take(ROOM, self.size)
+        return self.gossip.some(ROOM, self.size)
 
     def _say(self, update: Update) -> None:
-        self.gossip.add(update, size_of(update))
+        self.gossip.tell(update, size_of(update))
 
     def _next(self) -> int:
         self._seq += 1
--- a/brackenpulley/members/service.py
+++ b/brackenpulley/members/service.py
@@ -16,6 +16,7 @@
 from ..operator import MembersPart
 from .keys import KeyRing, RingError
 from .protocol import Changed
+from .station import Part
 from .transport import MemberService
 
 SEEK = 3.0  # s between tries to reach a seed that is no member
@@ -62,12 +63,18 @@
 
     def start(self) -> None:
         try:
-            self.service.listen(self.part.listen)
+            self.service.listen(self.part.listen, self.part.advertise)
         except OSError as error:
             at = self.part.listen
             raise ConfigError(f"members.listen: {at[0]}:{at[1]}: {error.strerror}") from None
         self.loop.call_in(SEEK, self._seek)
 
+    def attach(self, kind: str, part: Part) -> None:
+        """One more part of the station; membership listens by now."""
+        assert self.service.station is not None
+        self.service.station.parts[kind] = part
+        self.service.said()
+
     def _seek(self) -> None:
         """Seeds that are no members now are asked again: one was down at the start, or a partition outlasted what is
         remembered of the dead."""
--- a/brackenpulley/members/transport.py
+++ b/brackenpulley/members/transport.py
@@ -17,7 +17,8 @@
 from ..net.loop import READ, WRITE, Loop, Timer
 from .keys import KeyRing, PacketError, Replays
 from .protocol import Changed, Effect, Protocol, Send, Timing
-from .wire import LARGEST, Envelope, Message, Sync, seal, unseal
+from .station import Station
+from .wire import LARGEST, Carry, Digest, Envelope, Message, Records, Sync, seal, unseal
 
 STREAM = 1 << 20  # bytes of a stream's message
 STREAMS, PATIENCE = 64, 2.0  # at once, and s for each
@@ -85,17 +86,19 @@
         """`life` grows with each start under the same name (Unix ms will do): older packets are replays."""
         self.loop, self.ring, self.id, self.life, self.seeds = loop, ring, ident, life, seeds
         self.metrics, self.log, self.changed, self.timing = metrics, log, changed, timing or Timing()
-        self.protocol: Protocol | None = None
+        self.station: Station | None = None
         self.replays = Replays()
         self.streams: set[Stream] = set()
         self._number = 0
+        self._source = ""
         self._datagrams: socket.socket | None = None
         self._listener: socket.socket | None = None
         self._timer: Timer | None = None
         self._due = 0.0
 
-    def listen(self, at: Address) -> Address:
-        """Raises OSError. With port 0 both sockets take the same free one."""
+    def listen(self, at: Address, advertise: str = "") -> Address:
+        """Raises OSError. With port 0 both sockets take the same free one. `advertise`: where others reach it, if
+        not there; its streams come from the address where it listens then."""
         self._listener = sockets.listen(at, STREAMS)
         host, port = self._listener.getsockname()[:2]
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -106,12 +109,18 @@
         except OSError:
             self.stop()
             raise
-        self.protocol = Protocol(self.id, text((host, port)), random.Random(), self.loop.clock(), self.timing)
+        self._source = host if advertise else ""
+        self.station = Station(self.id, advertise or text((host, port)), random.Random(), self.loop.clock(),
+                               self.timing)
         self.loop.register(self._datagrams, READ, self._readable)
         self.loop.register(self._listener, READ, self._acceptable)
-        self._do(self.protocol.join(self.seeds))
+        self._do(self.station.join(self.seeds))
         return host, port
 
+    @property
+    def protocol(self) -> Protocol | None:
+        return None if self.station is None else self.station.protocol
+
     def _readable(self, events: int) -> None:
         for _ in range(READS_A_TURN):
             if self._datagrams is None:
@@ -143,19 +152,19 @@
         except PacketError as error:
             self.dropped(error.cause)
             return
-        if self.protocol is None or envelope.sender == self.id:
+        if self.station is None or envelope.sender == self.id:
             return
         if not self.replays.fresh(envelope.sender, envelope.life, envelope.number):
             self.dropped("replayed")
             return
         body = envelope.body
-        if not source:
-            if not isinstance(body, Sync) or not body.updates:
-                self.dropped("malformed")
-                return
+        if not source and isinstance(body, Sync) and body.updates:
             source = body.updates[0].address
+        elif not source and not isinstance(body, Records | Digest | Carry):
+            self.dropped("malformed")
+            return
         self.metrics.add("members_heard")
-        self._do(self.protocol.receive(self.loop.clock(), source, body))
+        self._do(self.station.receive(self.loop.clock(), source, body))
 
     def dropped(self, cause: str) -> None:
         self.metrics.add("members_dropped_" + cause)
@@ -186,7 +195,7 @@
             self.metrics.add("members_streams_full")
             return
         try:
-            Stream(self, sockets.connect(at), len(data).to_bytes(LENGTH, "big") + data)
+            Stream(self, sockets.connect(at, self._source), len(data).to_bytes(LENGTH, "big") + data)
         except OSError:
             self.metrics.add("members_streams_broken")
 
@@ -195,8 +204,8 @@
         return seal(Envelope(self.id, self.life, self._number, body), self.ring)
 
     def _wake(self) -> None:
-        assert self.protocol is not None
-        due = self.protocol.next_tick()
+        assert self.station is not None
+        due = self.station.next_tick()
         if self._timer is not None:
             if self._due <= due:
                 return
@@ -205,17 +214,22 @@
 
     def _tick(self) -> None:
         self._timer = None
-        if self.protocol is not None:
-            self._do(self.protocol.tick(self.loop.clock()))
+        if self.station is not None:
+            self._do(self.station.tick(self.loop.clock()))
+
+    def said(self) -> None:
+        """A part has something to say that no message and no time brought about."""
+        if self.station is not None:
+            self._do(self.station.said())
 
     def join(self, seeds: list[str]) -> None:
-        if self.protocol is not None:
-            self._do(self.protocol.join(seeds))
+        if self.station is not None:
+            self._do(self.station.join(seeds))
 
     def leave(self) -> None:
         """Tell the others; `stop` may follow once the datagrams are out."""
-        if self.protocol is not None:
-            self._do(self.protocol.leave())
+        if self.station is not None:
+            self._do(self.station.leave())
 
     def status(self) -> dict[str, Any]:
         protocol = self.protocol
@@ -232,7 +246,7 @@
             if sock is not None:
                 self.loop.want(sock, 0, lambda events: None)
                 sock.close()
-        self._datagrams = self._listener = self.protocol = None
+        self._datagrams = self._listener = self.station = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/brackenpulley/members/wire.py
+++ b/brackenpulley/members/wire.py
@@ -57,7 +57,38 @@
     answer: bool = False
 
 
-Message = Ping | Ack | Nack | Ask | Tell | Sync
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """See records.py. `owner` is a member's id, `serial` grows with each change that it makes."""
+
+    owner: str
+    kind: str
+    key: str
+    serial: int
+    value: bytes
+    gone: bool = False
+
+
+class Records(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    rows: list[Record]
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """The sender's records by owner as a mark each; `answer` where it is one and wants none."""
+
+    address: str
+    rows: list[tuple[str, bytes]]
+    answer: bool = False
+
+
+class Carry(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """What a part of the program says to its like elsewhere: `kind` names the part, `address` is the sender's."""
+
+    kind: str
+    address: str
+    data: bytes
+
+
+Message = Ping | Ack | Nack | Ask | Tell | Sync | Records | Digest | Carry
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -74,7 +105,12 @@
 
 
 def size_of(update: Update) -> int:
-    return len(_encode(update)) + 1
+    return encoded_size(update)
+
+
+def encoded_size(part: Update | Record) -> int:
+    """Bytes of it in a message."""
+    return len(_encode(part)) + 1
 
 
 def seal(envelope: Envelope, ring: KeyRing) -> bytes:
--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -7,6 +7,7 @@
 import random
 import socket
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import httptools
@@ -31,6 +32,8 @@
         self._tell = tell
         self._at: dict[str, Address] = {}
         self._state: dict[str, str] = {}
+        self._entries: dict[str, i.ServerEntry] = {}  # as the source told them
+        self.taken_out: frozenset[str] = frozenset()  # for work, whatever the source says
         self.version = 0
 
     def usable(self, server: str) -> bool:
@@ -47,16 +50,40 @@
         if how != "changes":
             self._at.clear()
             self._state.clear()
+            self._entries.clear()
+        for entry, _ in entries:
+            self._entries[entry.server] = entry
+        if self.taken_out:
+            entries = [(self._as_it_is(entry), at) for entry, at in entries]
         for entry, at in entries:
             if entry.state == "gone":
                 self._state.pop(entry.server, None)
                 self._at.pop(entry.server, None)
+                self._entries.pop(entry.server, None)
                 continue
             self._state[entry.server] = entry.state
             if at is not None:
                 self._at[entry.server] = at
         self._tell(i.ServerList(how, [entry for entry, _ in entries], version))
 
+    def take_out(self, servers: frozenset[str]) -> None:
+        """These get no new work, as if they drained, until they are no longer named."""
+        changed = servers ^ self.taken_out
+        self.taken_out = servers
+        rows = [self._as_it_is(entry) for name, entry in self._entries.items() if name in changed]
+        for row in rows:
+            self._state[row.server] = row.state
+        if rows:
+            self._tell(i.ServerList("changes", rows, self.version))
+
+    def _as_it_is(self, entry: i.ServerEntry) -> i.ServerEntry:
+        out = entry.server in self.taken_out and entry.state == "up"
+        return replace(entry, state="draining") if out else entry
+
+    def listed(self) -> list[i.ServerEntry]:
+        """As the source tells them."""
+        return list(self._entries.values())
+
     def told(self, obj: Any, stale: bool = False) -> None:
         """One object in discovery's form. Raises ValueError if it is none."""
         if not isinstance(obj, dict) or not isinstance(obj.get("instances"), list):
--- a/brackenpulley/net/sockets.py
+++ b/brackenpulley/net/sockets.py
@@ -39,10 +39,17 @@
     return sock
 
 
-def connect(at: Address) -> socket.socket:
-    """Begun; it is up, or has failed, once it can be written to. Raises OSError where it fails at once."""
+def connect(at: Address, source: str = "") -> socket.socket:
+    """Begun; it is up, or has failed, once it can be written to. `source`: the address of ours that it comes from.
+    Raises OSError where it fails at once."""
     sock = _new(at)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if source:
+        try:
+            sock.bind((source, 0))
+        except OSError:
+            sock.close()
+            raise
     code = sock.connect_ex(at)
     if code not in (0, errno.EINPROGRESS):
         sock.close()
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -82,6 +82,26 @@
     seeds: tuple[str, ...]  # addresses; one of them is enough to join
     keys: str  # file: a key a line, base64, the one in use first
     most: int  # instances that there may be in all; 0 = not told
+    advertise: str = ""  # where others reach it, if not at `listen`
+
+
+@dataclass(slots=True, frozen=True)
+class ConsensusPart:
+    voters: tuple[tuple[str, str], ...]  # name and address of membership of each: those that begin the log
+    path: str  # a voter's folder; "" = this process follows
+    seal: str  # file beside it, on this host and in no backup; "" = as the folder, with .seal
+    size: int  # bytes of the store at most
+
+
+@dataclass(slots=True, frozen=True)
+class MaintenancePart:
+    out: int  # machines at once
+    zone: int  # of one zone
+    reserve: float  # of the measured load, on top of it
+    bears: float  # attempts that a server of size 1 carries at once; 0 = load is no bound
+    spread: int  # the least number of ingresses of a firm's set
+    settle: float  # s for which one that returns must have carried load
+    late: float  # s after which clearing and returning are stuck
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,6 +122,8 @@
     leases: LeasePart | None = None
     ledger: LedgerPart | None = None
     members: MembersPart | None = None
+    consensus: ConsensusPart | None = None
+    maintenance: MaintenancePart | None = None
     seconds: bool = False  # one line of the log a second: what was counted in it
     bodies: BodiesPart = BodiesPart()
 
@@ -210,15 +232,60 @@
 
 def _members(raw: Any) -> MembersPart | None:
     name = "members"
-    if (part := _table(raw, name, {"fleet", "listen", "seeds", "keys", "most"})) is None:
+    if (part := _table(raw, name, {"fleet", "listen", "seeds", "keys", "most", "advertise"})) is None:
         return None
     seeds = part.get("seeds", [])
     if not isinstance(seeds, list):
         raise ConfigError(f"{name}.seeds: {seeds!r} is no list of addresses")
     for seed in seeds:
         address(seed, f"{name}.seeds")
+    advertise = _text(part, name, "advertise") if "advertise" in part else ""
+    if advertise:
+        address(advertise, f"{name}.advertise")
     return MembersPart(_text(part, name, "fleet"), address(_text(part, name, "listen"), f"{name}.listen"),
-                       tuple(seeds), _text(part, name, "keys"), _whole(part, name, "most", 0, 0, 10_000))
+                       tuple(seeds), _text(part, name, "keys"), _whole(part, name, "most", 0, 0, 10_000),
+                       advertise)
+
+
+def _share(table: dict[str, Any], name: str, key: str, default: float, most: float) -> float:
+    value = table.get(key, default)
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value <= most:
+        raise ConfigError(f"{name}.{key}: {value!r} is no number from 0 to {most:g}")
+    return float(value)
+
+
+def _consensus(raw: Any, members: MembersPart | None) -> ConsensusPart | None:
+    name = "consensus"
+    if (part := _table(raw, name, {"voters", "path", "seal", "size_mb"})) is None:
+        return None
+    if members is None:
+        raise ConfigError(f"{name}: needs [members]: what voters say goes through it")
+    voters = part.get("voters")
+    if not isinstance(voters, dict) or not voters:
+        raise ConfigError(f"{name}.voters: {voters!r} is no table of names and addresses")
+    if len(voters) not in (1, 3, 5):
+        raise ConfigError(f"{name}.voters: {len(voters)}; 1, 3 or 5")
+    for voter, at in voters.items():
+        address(at if isinstance(at, str) else "", f"{name}.voters.{voter}")
+    if len(set(voters.values())) < len(voters):
+        raise ConfigError(f"{name}.voters: an address twice")
+    return ConsensusPart(tuple(sorted(voters.items())), _text(part, name, "path") if "path" in part else "",
+                         _text(part, name, "seal") if "seal" in part else "",
+                         _whole(part, name, "size_mb", 64, 1, 4096) << 20)
+
+
+def _maintenance(raw: Any, consensus: ConsensusPart | None) -> MaintenancePart | None:
+    name = "maintenance"
+    part = _table(raw, name, {"out", "zone", "reserve", "bears", "spread", "settle_s", "late_s"})
+    if part is None:
+        return None
+    if consensus is None:
+        raise ConfigError(f"{name}: needs [consensus]: the order is agreed there")
+    return MaintenancePart(
+        _whole(part, name, "out", 1, 1, 1000), _whole(part, name, "zone", 1, 1, 1000),
+        _share(part, name, "reserve", 0.25, 10.0), _share(part, name, "bears", 0.0, 1e6),
+        _whole(part, name, "spread", 2, 1, 1000), _seconds(part, name, "settle_s", 10.0, 0.0, 3600.0),
+        _seconds(part, name, "late_s", 300.0, 0.1, 86400.0))
 
 
 def _bodies(raw: Any) -> BodiesPart:
@@ -233,7 +300,7 @@
 
 def decode(raw: dict[str, Any]) -> Operator:
     top = _table(raw, "operator", {"authz", "xds", "control", "plans", "reservations", "leases", "ledger",
-                                   "members", "log", "bodies"}) or {}
+                                   "members", "log", "bodies", "consensus", "maintenance"}) or {}
     authz = _table(top.get("authz"), "authz", {"server", "client"}) or {}
     server = client = xds = None
     name = "authz.server"
@@ -260,9 +327,11 @@
     log = _table(top.get("log"), "log", {"seconds"}) or {}
     if not isinstance(seconds := log.get("seconds", False), bool):
         raise ConfigError(f"log.seconds: {seconds!r} is neither true nor false")
+    members = _members(top.get("members"))
+    consensus = _consensus(top.get("consensus"), members)
     return Operator(server, client, xds, control, plans, _reservations(top.get("reservations")),
-                    _leases(top.get("leases")), _ledger(top.get("ledger")), _members(top.get("members")), seconds,
-                    _bodies(top.get("bodies")))
+                    _leases(top.get("leases")), _ledger(top.get("ledger")), members, consensus,
+                    _maintenance(top.get("maintenance"), consensus), seconds, _bodies(top.get("bodies")))
 
 
 def decode_text(text: str, name: str) -> Operator:
--- a/brackenpulley/policy/drain.py
+++ b/brackenpulley/policy/drain.py
@@ -6,15 +6,16 @@
 
 
 class Drain:
-    """In service, out of service by the operators' word, or ending after SIGTERM; the two ways out add up.
+    """In service, out of service by the operators' word or for agreed work, or ending after SIGTERM; these add up.
 
     Out of service: /ready says no at once, every answer ends its connection, idle connections are closed, and
     what is taken is still served. In service again: yes at once. Ending is for good."""
 
-    __slots__ = ("out", "ending", "opened")
+    __slots__ = ("out", "away", "ending", "opened")
 
     def __init__(self) -> None:
         self.out = False  # the operators took it out of service
+        self.away = False  # its host goes out for work, as agreed with the others
         self.ending = False  # SIGTERM came
         self.opened = False  # it has been able to serve once
 
@@ -31,7 +32,7 @@
     @property
     def draining(self) -> bool:
         """No new work is wanted: answers end their connections, idle ones are closed."""
-        return self.ending or self.out
+        return self.ending or self.out or self.away
 
     def ready(self, able: bool) -> bool:
         """What /ready says, where `able` tells that a list of servers is in hand."""
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -98,6 +98,8 @@
         self.health: Any = None
         self.gateways: Any = None
         self.members: Any = None
+        self.agreement: Any = None
+        self.maintenance: Any = None
         self.tally: Any = None
         self._extras()
 
@@ -118,6 +120,7 @@
 
     def ready(self) -> bool:
         told = self.discovery is None or self.discovery.heard or self.clock() - self.born > KNOWN_ENOUGH
+        told = told and (self.maintenance is None or self.maintenance.knows())  # what is away for work
         return told and self.ingress.listed and len(self.inventory) > 0
 
     def start(self, signals: bool = True) -> None:
@@ -149,7 +152,8 @@
             where = self._listen("console", self.console, self.config.console)
             self.log.info("console", address=f"{where[0]}:{where[1]}")
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
-        for part in (self.gateways, self.members, self.health):  # from here on others may know of it
+        # From here on others may know of it.
+        for part in (self.gateways, self.members, self.agreement, self.maintenance, self.health):
             if part is not None:
                 part.start()
 
@@ -219,11 +223,14 @@
             self.log.info("ending")
             if self.health is not None:
                 self.health.ending()
-            if self.members is not None:
-                self.members.leave()
+            for part in (self.maintenance, self.agreement):
+                if part is not None:
+                    part.ending()
             self.loop.call_in(LINGER, self._close_doors)
 
     def _close_doors(self) -> None:
+        if self.members is not None:
+            self.members.leave()
         self.north.stop_listening()
         if self.front is not None:
             self.front.drain()
@@ -266,7 +273,7 @@
             self.control.stop()
         if self.ledger is not None:
             self.ledger.stop()
-        for part in (self.members, self.health):
+        for part in (self.maintenance, self.agreement, self.members, self.health):
             if part is not None:
                 part.stop()
         self.loop.close()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -122,14 +122,14 @@
     g = Gossip()
     updates = [Update(f"m{n}", "a", 1, ALIVE) for n in range(30)]
     for update in updates:
-        g.add(update, size_of(update))
-    told = [u.id for _ in range(200) for u in g.take(100, 99)]
+        g.tell(update, size_of(update))
+    told = [u.id for _ in range(200) for u in g.some(100, 99)]
     limit = TIMES * 2
     assert all(told.count(u.id) == limit for u in updates) and len(g) == 0
     assert len(set(told[:30])) == 30  # nobody twice before everybody once
-    g.add(Update("m0", "a", 1, ALIVE), 20)
-    g.add(Update("m0", "a", 1, SUSPECT), 20)
-    assert [u.state for u in g.take(1000, 5)] == [SUSPECT]
+    g.tell(Update("m0", "a", 1, ALIVE), 20)
+    g.tell(Update("m0", "a", 1, SUSPECT), 20)
+    assert [u.state for u in g.some(1000, 5)] == [SUSPECT]
 
 
 def knows(state: str, incarnation: int = 5) -> Protocol:
