--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -38,7 +38,7 @@
 
 
 def _vote_forgotten(self: Disk, step: Store) -> bool:
-    return _store(self, raft.Store(step.term, self.kept.vote, step.unsure, step.floor, step.first, step.entries,
+    return _store(self, raft.Store(step.term, "", step.unsure, step.floor, step.first, step.entries,
                                    step.snapshot))
 
 
@@ -192,8 +192,12 @@
 }
 
 
+QUIET = {"one voter does not hear the leader, the other hears both"}  # with much to say, its log is soon too short
+
+
 def scripted(name: str, seed: int) -> Ran:
-    return run(seed, 16.0, lines=parse(SCRIPTS[name]), rate=20.0, spoil=True, skew=0.04, links=Links(Link(
+    rate = 0.2 if name in QUIET else 20.0
+    return run(seed, 16.0, lines=parse(SCRIPTS[name]), rate=rate, spoil=True, skew=0.04, links=Links(Link(
         delay=0.02, spread=0.01)))
 
 
--- a/benchmarks/work_order.py
+++ b/benchmarks/work_order.py
@@ -3,10 +3,10 @@
     python -m benchmarks.work_order --seconds 60 [--instances 5] [--machines 6] [--seed 1] [--json]
 
 Each ingress is a process of its own; the first three (five from nine on) vote. Between every ordered pair stands a
-relay (standins/links) that the script of the seed cuts, stalls, slows and lets lose; processes get SIGKILL (their disk kept,
-or lost), SIGSTOP and SIGCONT. Operators ask whichever process answers, workers begin what is clear and finish it, and
-clients keep on sending. The sim servers count by themselves what reaches a machine that is away. Exits 1 where a bound
-is broken:
+relay (standins/links) that the script of the seed cuts, stalls, slows and lets lose; processes get SIGKILL (their disk
+kept, or lost), SIGSTOP and SIGCONT. Operators ask whichever process answers, workers begin what is clear and finish
+it, and clients keep on sending. The sim servers count by themselves what reaches a machine that is away. Exits 1 where
+a bound is broken:
 
     more machines out than allowed, in all or in a zone     0
     two tokens in use for one machine                       0
