--- a/brackenpulley/control/api.py
+++ b/brackenpulley/control/api.py
@@ -445,7 +445,7 @@
 
     routes.add("GET", "/v1/work", lambda request: {
         "machines": [service.permits.row(job) for job in service.permits.jobs.values()],
-        "ingresses": service.permits.roster})
+        "ingresses": service.permits.roster, "index": service.index})
     def ended(request: Request) -> Any:
         told = decode(request.body, EndedCall)
         return once_agreed(lambda done: service.ended(told.name, told.life, done, PATIENCE))
--- a/brackenpulley/maintenance/service.py
+++ b/brackenpulley/maintenance/service.py
@@ -134,6 +134,12 @@
         assert isinstance(part, Permits)
         return part
 
+    @property
+    def index(self) -> int:
+        """Of the log, up to which this process has applied it."""
+        assert self.agreement.agreement is not None
+        return self.agreement.agreement.machine.index
+
     def start(self) -> None:
         told, agreement = self.told, self.agreement.agreement
         assert agreement is not None
