Reread: dead methods and names gone, one reading of a configuration

Found on rereading the change: Clerk.next_tick and Holder.next_tick were called by nobody (their services look by a timer), a plant's function that no row of the table used, __all__ kept only so that imports without a use passed lint; the agreement decoded a configuration and named a role by its own text where wire and raft have both.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -25,7 +25,7 @@
 from brackenpulley.consensus.agreement import COMPACT, Agreement
 from brackenpulley.consensus.feed import Follower
 from brackenpulley.consensus.machine import Machine
-from brackenpulley.consensus.raft import CANDIDATE, FOLLOWER, LEADER, Kept, Node, Store, Timing
+from brackenpulley.consensus.raft import FOLLOWER, LEADER, Kept, Node, Store
 from brackenpulley.consensus.wire import Between, Config, Entry, Snapshot, decode, encode
 from brackenpulley.maintenance.order import Bounds, Facts, Server
 from brackenpulley.maintenance.permits import (
@@ -127,11 +127,6 @@
         peer.cleared = peer.nonce
 
 
-def _lease_for_ever(self: Node) -> bool:
-    """A leader that does not step down for want of a majority, and votes for nobody meanwhile."""
-    return True
-
-
 def _told_before_committed(self: Agreement, entries: Any) -> None:
     _apply_all(self, entries)
     node = self.node
@@ -601,6 +596,3 @@
 
 if __name__ == "__main__":
     sys.exit(main())
-
-
-__all__ = ["CANDIDATE", "PLANTS", "Timing", "costs", "main", "model_check", "planted", "plants", "seeds"]
--- a/benchmarks/rolling_drains.py
+++ b/benchmarks/rolling_drains.py
@@ -26,7 +26,7 @@
 
 from benchmarks.work_order import Fleet, Process
 from brackenpulley.drains.schedule import Ingress, Rules, lasts, waves
-from brackenpulley.standins.wire import Line, Listener
+from brackenpulley.standins.wire import Listener
 
 RATE, MEAN, SERVERS = 60.0, 0.05, 3
 CALM, FAULTS, TIME, OPTIMUM = 0.97, 0.9, 1 / 3, 1.3
@@ -248,6 +248,3 @@
 
 if __name__ == "__main__":
     sys.exit(main())
-
-
-__all__ = ["Line", "schedule", "trial"]
--- a/brackenpulley/consensus/agreement.py
+++ b/brackenpulley/consensus/agreement.py
@@ -18,8 +18,8 @@
 from ..members.protocol import Changed
 from .feed import Follower, Source
 from .machine import Command, Machine, Outcome, encode
-from .raft import Apply, Effect, Kept, Node, Restore, Send, Store, Timing
-from .wire import Between, Config, Entry, Follow, Propose, Seats, Told, Word
+from .raft import LEADER, Apply, Effect, Kept, Node, Restore, Send, Store, Timing
+from .wire import Between, Config, Entry, Follow, Propose, Seats, Told, Word, unpack_config
 from .wire import decode as decode_word
 from .wire import encode as encode_word
 
@@ -96,7 +96,7 @@
 
     @property
     def leads(self) -> bool:
-        return self.node is not None and self.node.role == "leader" and not self.node.halted
+        return self.node is not None and self.node.role == LEADER and not self.node.halted
 
     def current(self, now: float) -> bool:
         """What is read here now is all that was agreed before: this one leads by a confirmed lease."""
@@ -258,7 +258,7 @@
     def _apply(self, entries: Sequence[Entry]) -> None:
         for entry in entries:
             if entry.kind == "seats":
-                self._seated(msgspec.msgpack.decode(entry.data, type=Config))
+                self._seated(unpack_config(entry.data))
             outcome = self.machine.apply(entry)
             self.applied(entry)
             if outcome is not None and outcome.asker == self.id:
--- a/brackenpulley/drains/holder.py
+++ b/brackenpulley/drains/holder.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import inf
 from typing import Any, Protocol
 
 from ..consensus.agreement import Agreement
@@ -130,9 +129,6 @@
         self.port.caps({server: 0 for server in self._caps})
         self._once(now, "leave", Leave(self.agreement.id))
 
-    def next_tick(self) -> float:
-        return inf if self.leaving else self._look_at
-
     def _once(self, now: float, name: str, command: Command) -> None:
         if name not in self._busy:
             self._propose(now, name, command, lambda answer: None)
--- a/brackenpulley/maintenance/clerk.py
+++ b/brackenpulley/maintenance/clerk.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import inf
 from typing import Any, Protocol
 
 from ..consensus.agreement import Agreement
@@ -114,9 +113,6 @@
         self.leaving = True
         self._once(now, "leave", Leave(self.name, self.agreement.id))
 
-    def next_tick(self) -> float:
-        return self._look_at if not self.leaving else inf
-
     def _once(self, now: float, name: str, command: Command) -> None:
         if name in self._busy:
             return
