--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -14,6 +14,7 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 TIMERS_A_TURN = 256  # more that are due wait a turn, so that no burst of timers keeps the sockets waiting
+LATE = 0.05  # s of a turn; what is found ready after one that took longer may have waited for so long
 DEAD_TIMERS = 512  # cancelled timers that may wait for their time
 Ready = Callable[[int], None]
 
@@ -67,6 +68,7 @@
         self._signals: dict[int, Callable[[], None]] = {}
         self._wake: Pipe | None = None
         self.running = False
+        self.late = False  # the turn before this one was long
 
     def register(self, sock: Watchable, events: int, ready: Ready, urgent: bool = False) -> None:
         key = self._selector.register(sock, events, ready)
@@ -178,7 +180,9 @@
                 self._cancelled -= 1
         for _ in range(len(self._soon)):
             self._call(self._soon.popleft())
-        self.metrics.most("longest_turn_us", int((self.clock() - began) * 1e6))
+        took = self.clock() - began
+        self.late = took > LATE
+        self.metrics.most("longest_turn_us", int(took * 1e6))
 
     def _call(self, call: Callable[[], None]) -> None:
         try:
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -18,7 +18,7 @@
 from ..policy.drain import Drain
 from . import sockets
 from .http import LONGEST, pass_on
-from .loop import READ, WRITE, Loop
+from .loop import READ, WRITE, Loop, Timer
 from .pool import SIZE, Pool
 from .requests import Fault, Reader, begin, encode, message
 
@@ -27,9 +27,13 @@
 UNTAKEN_AT_END = 3.0  # the same after SIGTERM, so that no client keeps the program from ending in time
 LINGER = 2.0  # s for which what still comes is read and lost, so that an answer before its end reaches the client
 SHED = 30.0  # the same where it can be parsed and still flows: its connection is good for the next message
-LINGER_MOST = 64 << 20  # bytes of that
+LINGER_AT_END = 0.5  # s of it after SIGTERM: the process is not held up by a client that does not end its side
+LINGER_MOST, LINGER_BAD = 64 << 20, 1 << 20  # bytes of that; behind what is no head, or a crowd
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PIPELINED = 8  # messages that may wait behind the one in hand; more at once are a crowd, and get errors
+WAITING = 1 << 16  # bytes of their bodies; with more there, no more is read
+LOOK = 0.05  # s between looks at whether a client that is not read is still there
+LINGERING = 8  # one part of the connections may be such that only wait for their client's end
 SILENT = 2.0  # s from connecting, for a client that says nothing at all
 IDLE = 120.0  # s after which a connection without a message is closed
 SWEEP = 0.25
@@ -44,11 +48,16 @@
     | ---------- | ------ | --------------------------------------------------- | -------------------------- |
     | unused     | no     | nothing partial                                     | yes                        |
     | being told | no     | the reader holds a part of a message                | yes                        |
-    | in hand    | yes    | `exchange`                                          | unless more messages wait  |
+    | in hand    | yes    | `exchange`                                          | while what waits fits      |
     | taking     | yes    | the same, and `upload`: its long body               | while the body has room    |
     | answered   | yes    | `out`, or `flow`: its long answer                   | as in hand                 |
     | shedding   | yes    | `shed_by`: answered before the end of what it sends | yes, and all of it is lost |
-    | ending     | yes    | no `keep`: closed once its answer is out            | no, or shedding            |
+    | ending     | yes    | no `keep`: ended once its answer is out             | as in hand                 |
+    | ended      | yes    | `shed_by` and `raw`: our side is shut down          | yes, and all of it is lost |
+
+    What is not parsed any more (`raw`) is read all the same, so that a close is noticed in every state; where it is not
+    read, since there is no room, `North._look` asks the socket. Every connection that we end goes through `ended`: a
+    close over bytes that are not read is a reset, which takes the last answer with it.
     """
 
     __slots__ = ("sock", "reader", "exchange", "busy", "keep", "out", "since", "reading", "closing", "serial",
@@ -79,7 +88,11 @@
     def __init__(self, loop: Loop, pool: Pool, ingress: Ingress, south: South, metrics: Metrics, log: Any,
                  most: int, ready: Callable[[], bool], drain: Drain, shares: Shares, longest: int = LONGEST) -> None:
         self.loop, self.pool, self.ingress, self.south = loop, pool, ingress, south
-        self.metrics, self.log, self.most, self.ready = metrics, log, most, ready
+        self.metrics, self.log, self.ready = metrics, log, ready
+        self.lingering = max(2, most // LINGERING)
+        self.most = most - self.lingering
+        self.ended: dict[Client, None] = {}  # these wait for their client's end alone; the oldest first
+        self.unread: dict[Client, None] = {}  # nothing is read of these, for want of room
         self.clients: dict[Client, None] = {}  # the longest unused first
         self.strangers: dict[Client, None] = {}  # of these, those that have not sent a whole message yet; oldest first
         self.listener: socket.socket | None = None
@@ -87,6 +100,8 @@
         self.drain, self.shares, self.longest = drain, shares, longest
         self.shedding: dict[Client, None] = {}  # these make room before all others; oldest first
         self.flowing = 0  # clients with a long answer on its way
+        self._paused: Timer | None = None
+        self._looks: Timer | None = None
 
     @property
     def draining(self) -> bool:
@@ -123,7 +138,7 @@
             except OSError as error:
                 if sockets.out_of_descriptors(error):
                     self.metrics.add("out_of_descriptors")
-                    if not self._evict():
+                    if not self._make_room():
                         self._pause()
                         return
                 continue
@@ -133,22 +148,29 @@
             self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
             self._readable(client)
             # What waits in the backlog counts as taken: unused connections make room before anything waits there.
-            if len(self.clients) > self.most and not self._evict() and not at_end:
+            if self._full() and not self._evict() and not at_end:
                 self._pause()
                 return
 
+    def _full(self) -> bool:
+        return len(self.clients) - len(self.ended) > self.most
+
     def _pause(self) -> None:
         self._accept_off()
-        self.loop.call_in(PAUSE, self._resume)
+        if self._paused is None:
+            self._paused = self.loop.call_in(PAUSE, self._resume)
 
     def _resume(self) -> None:
-        if len(self.clients) <= self.most or self._evict():
+        self._paused = None
+        if not self._full() or self._evict():
             self._accept_on()
         else:
             self._pause()
 
     def _evict(self) -> bool:
-        """Close the oldest stranger that sends no whole message, or the longest unused that has nothing to say."""
+        """End the oldest stranger that sends no whole message, or the longest unused that has nothing to say.
+
+        What it holds is free once another has to make room for it among those that ended."""
         old = self.loop.clock() - NEW
         for client in self.shedding:  # these have had their answer
             self.close(client)
@@ -158,15 +180,22 @@
                 break
             if not client.busy and not client.out and (client.reader.partial or not self._spoke(client)):
                 self.metrics.add("strangers_closed")
-                self.close(client)
+                self._end(client)
                 return True
         for client in self.clients:
             if client.serial and not client.busy and not client.reader.partial and not client.out and (
                     not self._spoke(client)):
-                self.close(client)
+                self._end(client)
                 return True
         return False
 
+    def _make_room(self) -> bool:
+        """A descriptor at once: those that have ended go before all others."""
+        for client in self.ended:
+            self.close(client)
+            return True
+        return self._evict()
+
     def _spoke(self, client: Client) -> bool:
         """Something has come that is not read yet: closing now would lose a message."""
         return bool(sockets.waiting(client.sock))
@@ -207,10 +236,14 @@
         if not count:
             self.close(client)
             return
-        if client.shed_by:
+        if client.shed_by or client.raw:
             client.shed += count
-            if client.shed > LINGER_MOST or fault:
-                self.close(client)
+            if fault or client.shed > (LINGER_MOST if client.reader.headed else LINGER_BAD):
+                if client.shed_by:
+                    self.close(client)
+                else:  # one is in hand still: its end is looked for without reading
+                    client.reading = False
+                    self._interest(client)
                 return
         if fault:
             self._fault(client, fault)
@@ -228,7 +261,13 @@
             client.pace.body(self.loop.clock())
         if client.upload is not None and reader.coming is not client.upload:
             self._taken(client)
+        if len(reader.whole) > PIPELINED + (not client.busy):
+            client.crowded = client.raw = True
         if not client.busy:
+            if reader.whole and (self.loop.late or not client.serial) and sockets.waiting(client.sock) == b"":
+                self.metrics.add("gone_unheard")  # it waited unread, and its client has left meanwhile
+                self.close(client)
+                return
             self._next(client)
         if client in self.clients and (reader.whole or reader.coming is not None):
             self._interest(client)
@@ -254,9 +293,8 @@
 
     def _fault(self, client: Client, status: int) -> None:
         self.metrics.add("malformed")
-        # The end of what has an error in its body cannot be told any more, and it may go on for long.
-        client.raw = client.reader.headed and not client.busy
-        client.reading, client.keep = False, False
+        # Where what has an error ends cannot be told any more: it is read on, and lost.
+        client.raw, client.keep = True, False
         if client.upload is not None and client.exchange is not None and client.exchange.message.coming:
             self._give_up(client, status)
         elif client.busy:  # the answer to the message before it goes first, then the connection ends
@@ -285,7 +323,6 @@
         if client not in self.clients or client.busy or not client.reader.whole:
             return
         payload, keep = client.reader.whole.popleft()
-        client.crowded = client.crowded or len(client.reader.whole) > PIPELINED
         client.busy, client.old = True, payload.old
         if (stream := payload.stream) is not None:
             client.upload = stream
@@ -345,7 +382,7 @@
         framing = b"Content-Length: %d\r\n" % body.length if body.length >= 0 else b""
         if client.chunked:
             framing = b"Transfer-Encoding: chunked\r\n"
-        client.keep = client.keep and not self.draining and bool(framing)
+        client.keep = client.keep and not self._last(client) and bool(framing)
         client.since = self.loop.clock()
 
         body.begin()
@@ -382,11 +419,15 @@
         if client.upload is not None:
             self._let_go(client)
         # Refused before its body was asked for: whether that comes all the same cannot be told from a next message.
-        client.keep = client.keep and not self.draining and not unasked
+        client.keep = client.keep and not self._last(client) and not unasked
         self._write(client, encode(status, body, client.keep, after, headers))
         if client.out:
             client.since = self.loop.clock()
 
+    def _last(self, client: Client) -> bool:
+        """No new work is wanted, and nothing that has been read waits behind this one: that is taken, and answered."""
+        return self.draining and not client.reader.whole
+
     def _write(self, client: Client, data: bytes) -> None:
         client.out.append(data)
         self._flush(client)
@@ -411,15 +452,17 @@
         """The answer is out whole."""
         if client.shed_by:
             return
-        if client.raw or client.upload is not None and client.reader.coming is client.upload:
+        if client.upload is not None and client.reader.coming is client.upload:
             self._shed(client)
             return
         client.upload = None
         client.busy, client.since = False, self.loop.clock()
         if not client.keep or client.closing:
-            self.close(client)
+            self._end(client)
         elif client.reader.whole:
             self.loop.call_soon(lambda: self._next(client))
+        elif client.raw:
+            self._end(client)
         else:
             if client.reader.waits_to_continue:
                 self._continue(client)
@@ -427,30 +470,63 @@
 
     def _shed(self, client: Client) -> None:
         """Answered before the end of what it sends: the rest is read and lost, else a reset would take the answer."""
-        self.shedding[client] = None
         if not client.keep or client.raw:
-            client.raw = True
-            sockets.finish(client.sock)
-        client.shed_by = self.loop.clock() + (LINGER if client.raw else SHED)
-        client.reading = True
+            self._end(client)
+            return
+        self.shedding[client] = None
+        client.shed_by = self.loop.clock() + SHED
         self._interest(client)
 
+    def _end(self, client: Client) -> None:
+        """The one way in which we end a connection: our side is shut down, and what still comes is read and lost until
+        the client ends its own. Nothing that is read after this is sent on: the client asks again elsewhere."""
+        if client in self.ended:
+            return
+        self.ended[client] = None
+        self.strangers.pop(client, None)
+        self.shedding.pop(client, None)
+        client.busy = client.raw = client.reading = True
+        client.keep, client.shed = False, 0
+        client.shed_by = self.loop.clock() + (LINGER_AT_END if self.drain.ending else LINGER)
+        sockets.finish(client.sock)
+        self._interest(client)
+        if len(self.ended) > self.lingering:
+            self.close(next(iter(self.ended)))
+        elif self.accepting is False and not self._full():
+            self._accept_on()
+
     def _interest(self, client: Client) -> None:
-        """Read unless messages wait that came too early; write while something waits to be written."""
+        """Read unless what waits already is all there is room for; write while something waits to be written."""
         reader, wanted = client.reader, WRITE if client.out else 0
         coming = reader.coming
-        if client.reading and (client.raw or client.shed_by or not (client.busy and reader.whole) and (
+        if client.reading and (client.raw or client.shed_by or not (
+                client.busy and reader.whole and reader.waiting() > WAITING) and (
                 coming is None or self._room(client, coming))):
             wanted |= READ
+            if self.unread:
+                self.unread.pop(client, None)
+        else:
+            self.unread[client] = None
+            if self._looks is None:
+                self._looks = self.loop.call_in(LOOK, self._look)
         self.loop.want(client.sock, wanted, lambda events: self._event(client, events))
 
+    def _look(self) -> None:
+        """A client whose bytes are not read can be gone all the same: nothing is begun for it then."""
+        self._looks = None
+        for client in list(self.unread):
+            if sockets.left(client.sock):
+                self.close(client)
+        if self.unread:
+            self._looks = self.loop.call_in(LOOK, self._look)
+
     def close(self, client: Client) -> None:
         """The one place where a client's connection is given back."""
         if client not in self.clients:
             return
         del self.clients[client]
-        self.strangers.pop(client, None)
-        self.shedding.pop(client, None)
+        for kind in (self.strangers, self.shedding, self.ended, self.unread):
+            kind.pop(client, None)
         self.loop.want(client.sock, 0, lambda events: None)
         client.sock.close()
         self.metrics.add("closed")
@@ -460,7 +536,7 @@
         self._flowed(client)
         client.reader.close()
         self._let_go(client)
-        if len(self.clients) < self.most:
+        if not self._full():
             self._accept_on()
 
     def _sweep(self) -> None:
@@ -476,8 +552,7 @@
                 if still > untaken:
                     self.close(client)
             elif not client.busy and client.reader.partial and client.pace.stands(now, client.reader.size):
-                client.busy = True
-                client.keep = client.reading = False
+                client.busy, client.keep = True, False
                 self._reply(client, 408)
             elif client.busy and client.exchange is not None and client.exchange.message.coming and (
                     client.pace.stands(now, client.reader.size)):
@@ -485,7 +560,7 @@
                 self._give_up(client, 408)
             elif not client.busy and not client.reader.partial and not self._spoke(client) and (
                     self.draining or still > (IDLE if client.serial else SILENT)):
-                self.close(client)
+                self._end(client)
         if self.listener is not None or self.clients:
             self.loop.call_in(SWEEP, self._sweep)
 
@@ -508,4 +583,11 @@
     def close_unused(self) -> None:
         for client in list(self.clients):
             if not client.busy and not client.reader.partial and not client.out and not self._spoke(client):
-                self.close(client)
+                self._end(client)
+
+    def give_up_halves(self) -> None:
+        """What is not whole by now could not be answered any more before the process is killed."""
+        for client in list(self.clients):
+            if not client.busy and client.reader.partial:
+                client.busy, client.keep = True, False
+                self._reply(client, 408)
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -73,6 +73,10 @@
             if self._fed > (WIRE if self.headed else HEAD):
                 raise Fault(413 if self.headed else 431)
 
+    def waiting(self) -> int:
+        """Bytes of the bodies of what is whole and waits."""
+        return sum(len(payload.body) for payload, _ in self.whole)
+
     def close(self) -> None:
         """The parser holds this object: together they would wait for the garbage collector."""
         self._parser = None
--- a/brackenpulley/net/sockets.py
+++ b/brackenpulley/net/sockets.py
@@ -13,6 +13,7 @@
 from ..address import Address
 
 AT_ONCE = 64  # buffers that one call writes
+LEFT = frozenset((6, 7, 8, 9, 11))  # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING (Linux, include/net/tcp_states.h)
 
 
 def _new(at: Address) -> socket.socket:
@@ -74,6 +75,14 @@
         return b""
 
 
+def left(sock: socket.socket) -> bool:
+    """The other side has ended or reset it, whatever it sent before and we did not read."""
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in LEFT
+    except OSError:
+        return False
+
+
 def write(sock: socket.socket, buffers: deque[bytes | memoryview]) -> int:
     """As much as the socket takes now, in bytes; the rest stays in `buffers`. Raises OSError where it has ended."""
     taken = 0
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -33,6 +33,7 @@
 from .policy.drain import Drain
 
 LINGER = 0.5  # s after SIGTERM in which new connections are still taken
+HALVES = 0.2  # s after that in which half a message may become whole: what comes later may not be answered in time
 SPARE, SPARE_PART = 64, 8  # descriptors for everything but clients and sim servers: at most, and 1 / part of all
 CLIENT_KB, MEMORY_PART = 80, 4  # a client with a whole message in hand; 1 / part of the memory is for them
 GIVE_BACK = 0.05  # s at the end for leased units to reach the counter
@@ -236,6 +237,7 @@
         self.north.stop_listening()
         if self.front is not None:
             self.front.drain()
+        self.loop.call_in(HALVES, self.north.give_up_halves)
         self._finish()
 
     def _finish(self) -> None:
