--- a/brackenpulley/net/inventory.py
+++ b/brackenpulley/net/inventory.py
@@ -84,17 +84,38 @@
         """As the source tells them."""
         return list(self._entries.values())
 
-    def told(self, obj: Any, stale: bool = False) -> None:
-        """One object in discovery's form. Raises ValueError if it is none."""
+    def told(self, obj: Any, stale: bool = False, whole: bool = False) -> int:
+        """One object in discovery's form; `whole`: the whole list was asked for. Raises ValueError if it is none.
+
+        Returns how many entries could not be read. Such a server gets nothing new; the others are told as they are."""
         if not isinstance(obj, dict) or not isinstance(obj.get("instances"), list):
             raise ValueError("not a list of instances")
-        how = "stale" if stale else "full" if obj.get("reset") else "changes"
-        self.change(how, [entry(x) for x in obj["instances"]], int(obj.get("generation", self.version)))
+        how = "stale" if stale else "full" if whole or obj.get("reset") else "changes"
+        found, unread = [], 0
+        for x in obj["instances"]:
+            if not isinstance(x, dict) or not isinstance(x.get("instanceId"), str):
+                if how == "changes":  # which server has changed is not known: only the whole list tells
+                    raise ValueError("instances: an entry without instanceId")
+                unread += 1
+                continue
+            try:
+                found.append(entry(x))
+            except (ValueError, TypeError, ArithmeticError):
+                unread += 1
+                found.append((i.ServerEntry(x["instanceId"], state="draining"), None))
+        self.change(how, found, int(obj.get("generation", self.version)))
+        return unread
+
+
+def _number(value: Any, name: str) -> float:
+    number = float(value)
+    if not 0 <= number < 1e15:  # nor one that is none
+        raise ValueError(f"{name}: {value!r}")
+    return number
 
 
-def entry(x: Any) -> tuple[i.ServerEntry, Address | None]:
-    if not isinstance(x, dict) or not isinstance(x.get("instanceId"), str):
-        raise ValueError("instances: an entry without instanceId")
+def entry(x: dict[str, Any]) -> tuple[i.ServerEntry, Address | None]:
+    """Raises ValueError, TypeError or ArithmeticError where it cannot be read."""
     state = STATES.get(str(x.get("lifecycle", "SERVING")), "draining")  # an unknown state gets nothing new
     try:
         at = address(x["hostPort"], "hostPort") if state != "gone" or "hostPort" in x else None
@@ -102,8 +123,8 @@
         raise ValueError(f"instances: {x['instanceId']}: {error}") from None
     return i.ServerEntry(
         server=x["instanceId"], zone=str(x.get("zone", "")), cell=int(x.get("cell", 0)),
-        size=float(x.get("weight", 1.0)), state=state, started=float(x.get("startedAtMs") or 0) / 1000,
-        kind=str(x.get("machineType", ""))), at
+        size=_number(x.get("weight", 1.0), "weight"), state=state,
+        started=_number(x.get("startedAtMs") or 0, "startedAtMs") / 1000, kind=str(x.get("machineType", ""))), at
 
 
 class Discovery:
@@ -119,26 +140,32 @@
         self._parser: Any = None
         self._objects = Objects(LONGEST)
         self._listed = False
-        self._up = False
+        self._up = self._whole = False  # the connection is; a list came over it
         self.heard_at = 0.0  # when the source last said anything, a sign of life too
         self._silence: Timer | None = None
+        self._wait: Timer | None = None  # until the next call
         self._stopped = False
 
     def start(self) -> None:
         """A watch from the version that is held, or the whole list first; again when one breaks.
 
         A list from the configuration is enough to watch from: what changed since is told first, or else the whole."""
+        self._listed = self.inventory.version > 0
+        self._ask()
+
+    def _ask(self) -> None:
+        if self._wait is not None:
+            self._wait.cancel()
+            self._wait = None
         if self._sock is not None or self._stopped:
             return
-        if not self.heard and self.inventory.version > 0:
-            self._listed = True
         self._watch.asking(self.loop.clock(), not self._listed)
-        self._objects, self._up = Objects(LONGEST), False
+        self._objects, self._up, self._whole = Objects(LONGEST), False, False
         self._parser = httptools.HttpResponseParser(self)
         try:
             self._sock = sock = sockets.connect(self.at)
         except OSError:
-            self.loop.call_in(self._watch.broken(self.loop.clock()), self.start)
+            self._wait = self.loop.call_in(self._watch.broken(self.loop.clock()), self._ask)
             return
         self.loop.register(sock, WRITE, self._event, urgent=True)
         self._watch_silence()
@@ -148,10 +175,13 @@
         if at == self.at or self._stopped:
             return
         self.at, self._listed = at, False
+        self._watch.moved()
         self._close()
-        self.start()
+        self._ask()
 
     def _watch_silence(self) -> None:
+        if self._silence is not None:
+            self._silence.cancel()
         self._silence = self.loop.call_at(self._watch.due(), self._silent)
 
     def _silent(self) -> None:
@@ -182,6 +212,7 @@
                 self._parser.feed_data(memoryview(buffer)[:count])
             finally:
                 self.pool.give(buffer)
+            self._watch_silence()
         except BlockingIOError:
             return
         except (OSError, httptools.HttpParserError) as error:
@@ -193,23 +224,37 @@
             with self._refused():
                 for data in self._objects.feed(part):
                     self._told(data)
+            self._watch.holds(self._objects.open, self.heard_at)
+
+    def on_headers_complete(self) -> None:
+        """What is said with another status is no list, and may never end."""
+        status = self._parser.get_status_code()
+        if status >= 200 and status != 200:
+            self._listed = self._listed and status >= 429  # turned away: what is held is still good
+            self._soon(lambda: self._broken(f"answered {status}"))
 
     def on_message_complete(self) -> None:
         """The list is whole, or the watch has ended."""
-        status = self._parser.get_status_code()
-        good = status == 200
+        if self._parser.get_status_code() != 200:
+            return
         with self._refused():
             self._objects.end()
-        if good and not self._listed:
-            self._listed = True
-            self.loop.call_soon(self._again)
+        if self._listed or not self._whole:
+            self._soon(lambda: self._broken("ended" if self._listed else "ended without a list"))
         else:
-            self._listed = self._listed and (good or status >= 429)  # turned away: what is held is still good
-            self.loop.call_soon(lambda: self._broken(f"ended with {status}"))
+            self._listed = True
+            self._soon(self._again)
+
+    def _soon(self, call: Callable[[], None]) -> None:
+        """In the next turn, if this connection is still the one: a new configuration may come in between."""
+        sock = self._sock
+        self.loop.call_soon(lambda: call() if self._sock is sock else None)
 
     def _told(self, data: bytes) -> None:
-        self.inventory.told(json.loads(data))
-        self.heard = True
+        if unread := self.inventory.told(json.loads(data), whole=not self._listed):
+            self.metrics.add("list_entries_unread", unread)
+            self.log.error("discovery", error=f"{unread} entries cannot be read")
+        self.heard = self._whole = True
         self._watch.told()
         self.metrics.add("lists")
 
@@ -218,14 +263,14 @@
         """What cannot be read may have been a change that is missing from now on: the whole list is asked for."""
         try:
             yield
-        except (ValueError, TypeError) as error:
+        except (ValueError, TypeError, ArithmeticError, RecursionError) as error:
             self.log.error("discovery", error=str(error))
             self._listed = False
             raise
 
     def _again(self) -> None:
         self._close()
-        self.start()
+        self._ask()
 
     def _broken(self, why: str) -> None:
         if self._sock is None:
@@ -233,7 +278,7 @@
         self.metrics.add("watch_breaks")
         self.log.info("watch broken", why=why)
         self._close()
-        self.loop.call_in(self._watch.broken(self.loop.clock()), self.start)
+        self._wait = self.loop.call_in(self._watch.broken(self.loop.clock()), self._ask)
 
     def _close(self) -> None:
         if self._sock is not None:
@@ -246,3 +291,5 @@
     def stop(self) -> None:
         self._stopped = True
         self._close()
+        if self._wait is not None:
+            self._wait.cancel()
--- a/brackenpulley/net/objects.py
+++ b/brackenpulley/net/objects.py
@@ -50,6 +50,11 @@
         elif part[begin:].strip():
             raise ValueError("not a JSON object")
 
+    @property
+    def open(self) -> bool:
+        """A part of an object is held whose end has not come."""
+        return bool(self._depth)
+
     def end(self) -> None:
         """Nothing more comes. Raises ValueError where an object is still open."""
         if self._depth:
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -452,7 +452,7 @@
         old = self.loop.clock() - self.retire
         for key in list(self.unused):
             server, at = key
-            gone = self.inventory.address(server) != at
+            gone = self.inventory.address(server) != at or not self.inventory.usable(server)
             for conn in [c for c in self.unused[key] if gone or c.since < old]:
                 self.close(conn)
             if not self.unused[key]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,15 +4,19 @@
 
 from __future__ import annotations
 
+import contextlib
+import json
 import socket
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
 
+from brackenpulley.address import address
 from brackenpulley.net import sockets
 
-from .rig import Rig, Wire, rig
-from .test_platform import OK
+from .rig import Peer, Rig, Wire, rig
+from .test_platform import OK, chunk
 
 
 def orderly(wire: Wire) -> bool:
@@ -205,8 +209,8 @@
 
 
 def test_half_a_message_is_given_up_before_its_answer_could_come_too_late() -> None:
-    """With a deadline of half a second the process is killed 1.2 s after SIGTERM: a message that is whole at 1.1 s would be
-    lost, one that has its error at 0.7 s is not."""
+    """Where deadlines are half a second, SIGKILL comes 1.2 s after SIGTERM: a message that is whole at 1.1 s would
+    be lost, one that has its error at 0.7 s is not."""
     with rig() as r:
         wire = r.client().send(head(1)[:30])
         r.until(lambda: any(client.reader.partial for client in r.daemon.north.clients))
@@ -235,3 +239,173 @@
         wire.close()
         r.until(lambda: not r.daemon.loop.running)
         assert r.count("reloads_failed") == 1 and r.count("served") == 1
+
+
+# Discovery.
+
+@contextlib.contextmanager
+def with_discovery(**more: Any) -> Iterator[tuple[Rig, Peer]]:
+    with rig() as outside:
+        place = Peer(outside)
+        with rig(**more, discovery=place.at) as r:
+            place.rig = r
+            yield r, place
+
+
+def asked(place: Peer) -> tuple[Wire, bytes]:
+    """The next call to discovery, and its first line."""
+    wire = place.accept()
+    return wire, wire.until(b"\r\n\r\n").split(b"\r\n")[0]
+
+
+def said(told: Any, status: bytes = b"200 OK") -> bytes:
+    body = json.dumps(told).encode() if told is not None else b""
+    return b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+@pytest.mark.parametrize("end", [b"0\r\n\r\n", None])
+def test_what_was_put_off_for_an_old_connection_to_discovery_does_not_hit_the_new_one(end: bytes | None) -> None:
+    """A watch ends, or the whole list does, in the turn in which a new configuration comes."""
+    with with_discovery(**{"known": {}} if end is None else {}) as (r, place):
+        wire, _ = asked(place)
+        new = Peer(r)
+        at = address(new.at, "new")
+        r.freeze()
+        r.daemon.loop.call_soon(lambda: r.daemon.discovery.move(at))  # runs before what this turn puts off
+        if end is None:
+            wire.send(said(r.listing()))
+        else:
+            wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + end)
+        r.turn()
+        assert r.daemon.discovery.at == at
+        wire, line = asked(new)
+        assert line.startswith(b"GET /v1/endpoints HTTP") and r.count("watch_breaks") == 0
+        wire.send(said({**r.listing(), "generation": 9}))
+        r.until(lambda: r.daemon.inventory.version == 9)
+        assert b"from=9 " in asked(new)[1]
+
+
+@pytest.mark.parametrize(("answer", "whole"), [
+    (b"HTTP/1.1 503 Busy\r\nContent-Length: 90\r\n\r\nnot yet", False),  # and never the rest
+    (b"HTTP/1.1 429 Busy\r\nTransfer-Encoding: chunked\r\n\r\n", False),
+    (b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", True), (b"HTTP/1.1 204 Nothing\r\n\r\n", True),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n<html", True), (b"not HTTP at all\r\n\r\n", False)])
+def test_whatever_is_no_list_is_asked_for_again_at_once(answer: bytes, whole: bool) -> None:
+    """`whole`: what is held may not be good any more. The answer's end is not waited for."""
+    with with_discovery() as (r, place):
+        wire, line = asked(place)
+        assert b"?watch=1&from=7 " in line
+        r.freeze()
+        wire.send(answer)
+        r.until(lambda: r.count("watch_breaks") == 1)
+        r.step(0.21)
+        wire, line = asked(place)
+        assert (b"?watch" not in line) == whole
+        if whole:  # nor is an answer without a list the whole list
+            wire.send(said(None))
+            r.until(lambda: r.count("watch_breaks") == 2)
+            r.step(0.21)
+            wire, line = asked(place)
+            assert b"?watch" not in line
+            wire.send(said({**r.listing(), "generation": 9, "reset": False, "instances": []}))
+            r.until(lambda: r.daemon.inventory.version == 9)
+            assert len(r.daemon.inventory) == 0  # whatever it calls itself, it is the whole list
+
+
+def test_a_change_that_is_never_whole_is_no_sign_of_life() -> None:
+    with with_discovery() as (r, place):
+        wire, _ = asked(place)
+        wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        r.until(lambda: r.daemon.discovery.heard_at > 0)
+        r.freeze()
+        wire.send(b'd\r\n{"generation"\r\n')
+        r.until(lambda: r.daemon.discovery._objects.open)
+        for _ in range(4):
+            wire.send(b"1\r\n\n\r\n")
+            r.step(0.3)
+        r.until(lambda: r.count("watch_breaks") == 1)
+
+
+BAD: list[dict[str, Any]] = [
+    {"hostPort": "nowhere"}, {"hostPort": None}, {"weight": "heavy"}, {"weight": float("nan")}, {"weight": -1},
+    {"weight": float("inf")}, {"startedAtMs": "yesterday"}, {"cell": float("inf")}, {"cell": None}, {"weight": [1]}]
+
+
+@pytest.mark.parametrize("bad", BAD)
+def test_an_entry_that_cannot_be_read_costs_its_server_alone(bad: dict[str, Any]) -> None:
+    with with_discovery(servers=2) as (r, place):
+        wire, _ = asked(place)
+        rows = r.listing()["instances"]
+        wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(
+            {"generation": 8, "instances": [{**rows[0], **bad}, rows[1]]}))
+        r.until(lambda: r.daemon.inventory.version == 8)
+        assert not r.daemon.inventory.usable("s-0") and r.daemon.inventory.usable("s-1")
+        assert r.count("list_entries_unread") == 1 and r.count("watch_breaks") == 0
+        client = r.ask(1)
+        name, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert name == "s-1" and client.answer()[0] == 200
+
+
+@pytest.mark.parametrize("how", ["drains", "gone", "left out", "elsewhere", "another there"])
+def test_no_first_byte_goes_where_the_list_says_no_while_a_connection_comes_up(how: str) -> None:
+    with rig(servers=1) as r:
+        other = Peer(r)
+        row = r.listing()["instances"][0]
+        told = {"drains": [{**row, "lifecycle": "DRAINING"}], "gone": [{"instanceId": "s-0", "lifecycle": "DELETED"}],
+                "left out": [], "elsewhere": [{**row, "hostPort": other.at}],
+                "another there": [{**row, "lifecycle": "DELETED"}, {**row, "instanceId": "s-9"}]}[how]
+        began = r.daemon.south._begin
+
+        def crossing(conn: Any, attempt: Any) -> None:
+            if not r.count("crossed"):  # it has come up in this turn; the list is told in the same one
+                r.daemon.metrics.add("crossed")
+                r.daemon.inventory.told({"generation": 8, "reset": how == "left out", "instances": told})
+            began(conn, attempt)
+        r.daemon.south._begin = crossing  # type: ignore[method-assign]
+        client = r.ask(1)
+        r.until(lambda: r.count("drained_before_send") == 1)
+        old = r.peers["s-0"].accept()
+        if how in ("elsewhere", "another there"):
+            new = other.accept() if how == "elsewhere" else r.peers["s-0"].accept()
+            new.answer()
+            new.send(OK)
+            assert client.answer()[0] == 200
+        else:
+            assert client.answer()[0] == 503
+        r.skip(1.1)
+        assert old.ended() and not old.seen  # nor is the connection kept
+
+
+def test_descriptors_full_of_idle_clients_while_discovery_is_down() -> None:
+    """Its return is heard, servers are connected to, /ready and a new message are answered."""
+    with with_discovery(limits={"sockets": 64, "memory_mb": 32}, known={}) as (r, place):
+        north = r.daemon.north
+        crowd = [r.client() for _ in range(64)]
+        r.until(lambda: len(north.clients) >= north.most)
+        deaf, _ = asked(place)  # never answered: discovery is down
+        for _ in range(8):
+            r.skip(0.5)
+        calls: list[Wire] = []
+
+        def back() -> bool:
+            """It answers whatever comes from now on, and what came while it was down."""
+            if wire := place.connected():
+                calls.append(wire)
+            for wire in calls:
+                if wire._more() and b"\r\n\r\n" in wire.seen:
+                    wire.seen = b""
+                    wire.send(said(r.listing()))
+            return bool(r.daemon.discovery.heard)
+        r.until(back)
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200 and r.count("out_of_descriptors") == 0
+        assert len(north.clients) <= north.most + north.lingering + 1
+        for one in crowd:
+            one.close()
+        deaf.close()
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -202,3 +202,50 @@
             r.step(0.05)
             calls += [call] if (call := source.connected()) is not None else []
         assert len(calls) == 2 and r.daemon.clock() < last + 4.7
+
+
+FAILS: dict[str, Callable[[int], float]] = {  # seconds until the n-th call has failed; 0 = not until it is given up
+    "silent": lambda call: 0.0, "refused": lambda call: 0.001, "answered 503": lambda call: 0.05,
+    "one and the other": lambda call: 0.001 if call % 2 else 0.0}
+
+
+@pytest.mark.parametrize("how", FAILS)
+@pytest.mark.parametrize("slow", [False, True])
+def test_from_its_return_on_discovery_is_heard_within_5_s_whatever_failed_before(how: str, slow: bool) -> None:
+    """The call that is out at the return is never answered, the next one never comes up, the third one is answered."""
+    for seed in SEEDS:
+        for before in range(12):
+            watch, now = Watch(random.Random(seed)), 100.0
+            watch.asking(now, False)
+            watch.connected()
+            watch.heard(now + (2.0 if slow else 0.1))
+            now += 3.0
+            now += watch.broken(now)
+            for call in range(before + 1):
+                watch.asking(now, False)
+                watch.connected()
+                back = now + 0.001  # discovery is back right after the last of these was begun
+                now = now + took if (took := FAILS[how](call)) else watch.due()
+                now += watch.broken(now)
+            watch.asking(now, False)  # does not come up
+            now = watch.due()
+            now += watch.broken(now)
+            assert now + 0.05 - back < 5.0
+
+
+def test_a_list_that_trickles_and_an_object_that_stays_open_are_given_up_in_time() -> None:
+    watch = Watch(random.Random(1))
+    watch.asking(10.0, True)
+    watch.connected()
+    for step in range(12):
+        watch.heard(10.1 + step * 0.25)  # never a second without a byte
+    assert watch.due() == pytest.approx(13.0)
+    watch.asking(20.0, False)
+    watch.connected()
+    for at in (20.1, 22.0, 24.0, 26.0):  # empty lines, the last three of them inside an object
+        watch.heard(at)
+        watch.holds(at >= 22.0, at)
+    assert watch.due() == pytest.approx(23.0)
+    watch.holds(False, 26.0)
+    assert watch.due() == pytest.approx(26.0 + SILENT)
+    assert SILENT + WAITS[0] + OPENS[0] + WAITS[1] + OPENS[1] < 5.0
