--- a/brackenpulley/settings.py
+++ b/brackenpulley/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 from .policy import interface as i
@@ -14,23 +15,40 @@
 JSON = dict[str, Any]
 
 
-def settings(s: JSON) -> i.Settings:
-    def need(obj: JSON, key: str) -> Any:
-        if key not in obj:
-            raise i.SettingsError(f"{key}: missing")
-        return obj[key]
+def need(obj: JSON, key: str, at: str = "") -> Any:
+    if key not in obj:
+        raise i.SettingsError(f"{at}{key}: missing")
+    return obj[key]
+
+
+def _shape(value: Any, kind: type, name: str) -> Any:
+    """Guards against a traceback where a field is there and of another kind."""
+    if not isinstance(value, kind):
+        raise i.SettingsError(f"{name}: {value!r:.40} is no {'list' if kind is list else 'object'}")
+    return value
+
 
+def _rows(s: JSON, key: str) -> list[tuple[str, JSON]]:
+    """What each is called where it is wrong, and the object."""
+    named = ((f"{key}[{n}]", row) for n, row in enumerate(_shape(s[key], list, key)))
+    return [(f"{name}.", _shape(row, dict, name)) for name, row in named]
+
+
+def settings(s: JSON) -> i.Settings:
+    need(s, "Classes")
     classes = [i.ClassSpec(
-        name=need(c, "Name"), aim=need(c, "Objective"), deadline=need(c, "GiveUp"), worth=need(c, "Value"),
-        effect=EFFECT.get(need(c, "Idempotency"), c["Idempotency"]), group=c.get("Group", "all"),
+        name=need(c, "Name", at), aim=need(c, "Objective", at), deadline=need(c, "GiveUp", at),
+        worth=need(c, "Value", at), effect=EFFECT.get(str(need(c, "Idempotency", at)), str(c["Idempotency"])),
+        group=c.get("Group", "all"),
         window=c.get("Window", 0.0), late_worth=c.get("LateWorth", 0.0), stream=c.get("Streamed", False),
-        aim_stretch=c.get("AimStretch", 0.0)) for c in need(s, "Classes")]
+        aim_stretch=c.get("AimStretch", 0.0)) for at, c in _rows(s, "Classes")]
     plans = [i.PlanSpec(
-        name=need(p, "Name"), rate=p.get("QuotaRate", 0.0), burst=p.get("Burst", 0.0), open=p.get("MaxOut", 0),
+        name=need(p, "Name", at), rate=p.get("QuotaRate", 0.0), burst=p.get("Burst", 0.0), open=p.get("MaxOut", 0),
         price=p.get("Pays", 1.0), over_worth=p.get("ExtraWorth", 0.0), over_cost=p.get("OverCost", 0.0),
         ceiling_rate=p.get("HardRate", 0.0), ceiling_burst=p.get("CeilingBurst", 0.0),
-        ceiling_slack=p.get("CeilingSlack", 0.0)) for p in s.get("TiersOfService", [])]
-    lim, inv, ext, rep = (need(s, k) for k in ("Limits", "Invariants", "Extra", "Report"))
+        ceiling_slack=p.get("CeilingSlack", 0.0)) for at, p in _rows({"TiersOfService": [], **s}, "TiersOfService")]
+    lim, inv, ext, rep = (_shape(need(s, k), dict, k) for k in ("Limits", "Invariants", "Extra", "Report"))
+    _shape(rep.get("Fields") or [], list, "Report.Fields")
     return i.Settings(
         classes=classes, plans=plans, me=need(s, "MyNumber"), gateways=need(s, "NInstances"), zone=s.get("Zone", ""),
         tick=need(s, "Resolution"), max_attempts=need(lim, "AttemptsCap"), cancel=lim.get("MayCancel", False),
@@ -58,7 +76,12 @@
 
 
 def transport(s: JSON) -> Transport:
+    """Of settings that have been decoded."""
     limits = s.get("Limits", {})
+    for name in ("ConnIdle", "ConnectTimeout"):
+        value = limits.get(name)
+        if value is not None and not (isinstance(value, int | float) and 0 <= value < inf):
+            raise i.SettingsError(f"Limits.{name}: {value!r} is not usable")
     longest = max((float(c.get("GiveUp", 0.0)) for c in s.get("Classes", [])), default=0.0)
     return Transport(float(limits.get("ConnIdle") or 30.0), float(limits.get("ConnectTimeout") or 0.25), longest,
                      tuple(s.get("Report", {}).get("Fields") or ()))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import json
 import socket
 from collections.abc import Iterator
@@ -12,10 +13,12 @@
 
 import pytest
 
-from brackenpulley.address import address
+from brackenpulley.address import ConfigError, address
+from brackenpulley.config import decode
 from brackenpulley.net import sockets
 
 from .rig import Peer, Rig, Wire, rig
+from .test_link import SETTINGS
 from .test_platform import OK, chunk
 
 
@@ -528,3 +531,66 @@
         server.send(OK)
         r.skip(4.0)  # its bytes and its end are due in one turn
         assert client.answer()[0] == 200 and r.count("served") == 1 and r.count("relays") == 1
+
+
+# Settings of another customer: names that nothing in the program knows, and what cannot be meant.
+
+def changed(path: list[Any], value: Any) -> dict[str, Any]:
+    told = copy.deepcopy(SETTINGS)
+    place: Any = told
+    for step in path[:-1]:
+        place = place[step]
+    if value is None and path[-1] == "GiveUp":
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return told
+
+
+@pytest.mark.parametrize(("path", "value", "field"), [
+    (["Classes", 0, "GiveUp"], None, "Classes[0].GiveUp: missing"),
+    (["Classes", 0, "GiveUp"], "soon", "classes[a].deadline"),
+    (["Classes", 0, "Idempotency"], "perhaps", "classes[a].effect"),
+    (["Classes", 0, "Idempotency"], ["free"], "classes[a].effect"),
+    (["Classes"], [], "classes: "), (["Classes"], None, "Classes: "), (["Classes", 0], 5, "Classes[0]: "),
+    (["Limits", "AttemptsCap"], -1, "max_attempts"), (["Limits", "ConnectTimeout"], -1, "Limits.ConnectTimeout"),
+    (["Limits", "ConnectTimeout"], "x", "Limits.ConnectTimeout"), (["Limits", "ConnIdle"], -3, "conn_idle"),
+    (["Limits"], [], "Limits: "), (["TiersOfService"], None, "TiersOfService: "), (["Report"], None, "Report: "),
+    (["Report", "Fields"], 3, "Report.Fields: ")])
+def test_settings_that_cannot_be_meant_are_one_line_that_names_the_field(
+        path: list[Any], value: Any, field: str) -> None:
+    raw = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1",
+           "settings": changed(path, value)}
+    with pytest.raises(ConfigError) as found:
+        decode(raw, {})
+    assert str(found.value).startswith("settings." + field) and "\n" not in str(found.value)
+
+
+@pytest.mark.parametrize("effects", [
+    ["single_shot"], ["guarded", "single_shot"], ["free", "guarded", "single_shot", "free"]])
+def test_classes_with_names_and_effects_of_another_customer_are_served_and_repeated_as_they_allow(
+        effects: list[str]) -> None:
+    told = copy.deepcopy(SETTINGS)
+    told["Classes"] = [{**told["Classes"][0], "Name": f"zx-{n}", "Idempotency": effect, "Group": "all", "Window": 5.0,
+                        "Objective": 8.0, "GiveUp": 20.0} for n, effect in enumerate(effects)]
+    told["TiersOfService"] = [{"Name": "qq", "QuotaRate": 100.0, "Burst": 100.0}]
+    told["Extra"] = {"MayCount": False, "MostUnits": 3}
+    told["Limits"].update(AttemptsCap=2, MayCancel=False, RetryAfter=False)
+    with rig(servers=2, settings=told) as r:
+        for number, effect in enumerate(effects, 1):
+            client = r.client().send(
+                (f"POST /zx-{number - 1}/{number:016x} HTTP/1.1\r\nHost: h\r\nX-Request-ID: {number:016x}\r\n"
+                 f"X-Tariff: qq\r\nX-Timeout: 19000m\r\nX-Weight: units=3\r\nContent-Length: 1\r\n\r\nx").encode())
+            _, server = r.served()
+            server.answer()
+            server.reset()
+            if effect == "single_shot":
+                assert client.answer()[0] == 502  # it may have run: nothing says that another try is harmless
+            else:
+                _, again = r.served()
+                again.answer()
+                again.send(OK)
+                assert client.answer()[0] == 200
+                again.close()
+            r.skip(0.5)
+        assert r.count("relays") == sum(1 if effect == "single_shot" else 2 for effect in effects)
