--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -214,7 +214,10 @@
             return c
         if c is None:
             spread = max(1, r.spread)
-            level = 0.0 if self.s.leased else self.share(plan, spread, self.s.most_units)
+            # Nothing is known of it yet: the first try, and more as far as a wrong one costs less than a
+            # right one earns. Each gateway of its set grants that: with many, most of what goes beyond.
+            known = max(r.units, self.s.most_units * (1 + plan.over_worth - plan.over_cost))
+            level = 0.0 if self.s.leased else self.share(plan, spread, min(self.s.most_units, known))
             share = self.share(plan, spread, self.s.most_units * SAVED)
             self.customers[r.customer] = c = Customer(
                 r.customer, plan, spread, r.first, share, level, now, now, now, now)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -594,3 +594,39 @@
                 again.close()
             r.skip(0.5)
         assert r.count("relays") == sum(1 if effect == "single_shot" else 2 for effect in effects)
+
+
+# A new process, with the list that it last held in its configuration.
+
+def test_what_the_agent_has_goes_before_the_old_list_from_the_first_message_on() -> None:
+    with with_discovery(servers=2) as (r, place):
+        early = r.ask(1)  # before the agent has said a word: not sent by the old list
+        assert early.answer()[0] == 429 and r.count("relays") == 0
+        wire, line = asked(place)
+        assert b"?watch=1&from=7 " in line
+        wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(
+            {**r.listing(s_0="DRAINING"), "reset": False, "generation": 8}))
+        r.until(lambda: r.daemon.inventory.version == 8)
+        for number in range(2, 8):
+            client = r.ask(number)
+            name, server = r.served()
+            server.answer()
+            server.send(OK)
+            assert name == "s-1" and client.answer()[0] == 200
+
+
+@pytest.mark.parametrize("how", ["silent", "refused", "busy"])
+def test_a_restarted_process_is_ready_within_2_s_whatever_discovery_does(how: str) -> None:
+    with with_discovery() as (r, place):
+        if how == "refused":
+            place.sock.close()
+        for _ in range(18):
+            r.skip(0.1)
+            if how == "busy" and (wire := place.connected()):
+                wire.send(said(None, b"503 Busy"))
+        assert r.client().send(b"GET /ready HTTP/1.1\r\n\r\n").answer()[0] == 200
+        client = r.ask(1)
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert client.answer()[0] == 200
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,5 +1,7 @@
 """The customer quota: fill, readings, none, a counter that returns empty, late answers."""
 
+import pytest
+
 from brackenpulley.policy.brain import Gateway
 from brackenpulley.policy.interface import (
     Count,
@@ -35,6 +37,22 @@
     assert passes(d, 30) == 10
 
 
+@pytest.mark.parametrize(("cost", "worth", "tries", "units"), [
+    (1.2, 0.0, 1, 1.0), (1.0, 0.0, 1, 1.0), (0.5, 0.0, 2, 1.0), (0.0, 0.1, 4, 1.0), (2.0, 0.0, 1, 4.0)])
+def test_what_each_of_many_gateways_grants_before_it_knows_follows_what_a_wrong_try_costs(
+        cost: float, worth: float, tries: int, units: float) -> None:
+    """Each of two hundred granted the largest request; a firm that asks three times its rate comes to nearly all of
+    them for the first time. What is right to grant is the first try, whatever its size."""
+    plan = PlanSpec("gold", rate=10.0, burst=20.0, over_cost=cost, over_worth=worth)
+    sent = 0
+    for me in range(50):
+        d = Drive(servers=20, gateways=200, me=me, plans=[plan], counter=False)
+        for _ in range(6):
+            sent += passes(d, 1, spread=200, units=units)
+            settle(d)
+    assert sent == 50 * tries
+
+
 def test_no_reading_gives_the_even_share() -> None:
     d = Drive(servers=20, counter=False)
     assert passes(d, 30, spread=3) == 6  # 20 / 3
