--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -27,7 +27,7 @@
 UNTAKEN_AT_END = 3.0  # the same after SIGTERM, so that no client keeps the program from ending in time
 LINGER = 2.0  # s for which what still comes is read and lost, so that an answer before its end reaches the client
 SHED = 30.0  # the same where it can be parsed and still flows: its connection is good for the next message
-LINGER_AT_END = 0.5  # s of it after SIGTERM: the process is not held up by a client that does not end its side
+LINGER_AT_END = 0.3  # s of it after SIGTERM: the process is not held up by a client that does not end its side
 LINGER_MOST, LINGER_BAD = 64 << 20, 1 << 20  # bytes of that; behind what is no head, or a crowd
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PIPELINED = 8  # messages that may wait behind the one in hand; more at once are a crowd, and get errors
@@ -145,6 +145,7 @@
             client = Client(sock, self.loop.clock(), Reader(self.shares, self.longest))
             self.clients[client] = self.strangers[client] = None
             self.metrics.add("accepted")
+            self._trim()
             self.loop.register(sock, READ, lambda events, c=client: self._event(c, events))  # type: ignore[misc]
             self._readable(client)
             # What waits in the backlog counts as taken: unused connections make room before anything waits there.
@@ -494,11 +495,15 @@
         client.shed_by = self.loop.clock() + (LINGER_AT_END if self.drain.ending else LINGER)
         sockets.finish(client.sock)
         self._interest(client)
-        if len(self.ended) > self.lingering:
-            self.close(next(iter(self.ended)))
-        elif self.accepting is False and not self._full():
+        self._trim()
+        if not self._full():
             self._accept_on()
 
+    def _trim(self) -> None:
+        """What only waits for its client's end takes no more descriptors than are spare for it."""
+        while self.ended and len(self.clients) > self.most + self.lingering:
+            self.close(next(iter(self.ended)))
+
     def _interest(self, client: Client) -> None:
         """Read unless what waits already is all there is room for; write while something waits to be written."""
         reader, wanted = client.reader, WRITE if client.out else 0
@@ -592,6 +597,8 @@
     def give_up_halves(self) -> None:
         """What is not whole by now could not be answered any more before the process is killed."""
         for client in list(self.clients):
-            if not client.busy and client.reader.partial:
+            if not client.busy and client.reader.partial and self._spoke(client):
+                self._readable(client)  # its end may be here already
+            if client in self.clients and not client.busy and client.reader.partial:
                 client.busy, client.keep = True, False
                 self._reply(client, 408)
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -86,6 +86,7 @@
         self.south = Southside(self.loop, self.pool, self.inventory, self.metrics, sockets * 2 // 5,
                                config.transport.idle, config.transport.connect, config.transport.fields, self.shares)
         self.drain = Drain()
+        self._halves_until = 0.0  # half a message may become whole; set once the doors are closed
         self.north = North(self.loop, self.pool, self.ingress, self.south, self.metrics, log, clients, self.ready,
                            self.drain, self.shares, told.bodies.longest)
         self.console: Console | None = None
@@ -237,11 +238,13 @@
         self.north.stop_listening()
         if self.front is not None:
             self.front.drain()
-        self.loop.call_in(HALVES, self.north.give_up_halves)
+        self._halves_until = self.clock() + HALVES
         self._finish()
 
     def _finish(self) -> None:
         self.north.close_unused()
+        if self.clock() >= self._halves_until:
+            self.north.give_up_halves()
         if self.north.clients or self.ingress.held or self.front is not None and self.front.peers:
             self.loop.call_in(0.02, self._finish)
         else:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -162,11 +162,12 @@
 def test_what_never_ends_its_side_is_closed_after_a_bound_and_first_where_room_is_short() -> None:
     with rig() as r:
         north, clients = r.daemon.north, []
-        for _ in range(north.lingering + 3):
+        north.most = 2
+        for _ in range(north.lingering + 5):
             clients.append(r.client().send(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n"))
             assert clients[-1].answer()[0] == 200
-        r.until(lambda: len(north.ended) == north.lingering)
-        assert north._make_room() and len(north.ended) == north.lingering - 1
+        r.until(lambda: len(north.ended) == north.lingering + 2 == len(north.clients))
+        assert north._make_room() and len(north.ended) == north.lingering + 1
         r.skip(2.3)
         r.until(lambda: not north.clients)
 
@@ -228,6 +229,36 @@
         r.until(lambda: not r.daemon.loop.running)
 
 
+def test_half_a_message_whose_rest_has_come_unread_is_taken() -> None:
+    with rig() as r:
+        wire = r.client().send(head(1)[:30])
+        r.until(lambda: any(client.reader.partial for client in r.daemon.north.clients))
+        ends(r, 0.55)
+        r.freeze()
+        r.skipped += 0.2
+        wire.send(head(1)[30:])
+        r.daemon.north.give_up_halves()  # in the turn whose timer is due, before its sockets are looked at
+        _, server = r.served()
+        server.answer()
+        server.send(OK)
+        assert wire.answer()[0] == 200
+
+
+def test_many_resting_connections_all_end_in_order_at_sigterm() -> None:
+    """Each has a message on its way in the moment of its end: none is reset, none is sent on."""
+    with rig() as r:
+        wires = [r.client().send(b"GET /ready HTTP/1.1\r\n\r\n") for _ in range(3 * r.daemon.north.lingering)]
+        assert [wire.answer()[0] for wire in wires] == [200] * len(wires)
+        ends(r)
+        r.daemon.loop.call_soon(lambda: [r.ask(n, wire=wire) for n, wire in enumerate(wires, 1)] and None)
+        r.daemon.north.close_unused()
+        r.turn()
+        assert all(orderly(wire) for wire in wires) and r.count("messages") == 0
+        for wire in wires:
+            wire.close()
+        r.until(lambda: not r.daemon.north.clients)
+
+
 def test_sigterm_twice_and_a_new_configuration_in_the_same_turn(tmp_path: Any) -> None:
     with rig() as r:
         wire = r.ask(1)
