--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -154,6 +154,8 @@
         return None
 
     def _open(self, key: Key, now: float) -> Conn | None:
+        if self.caps is not None and self.unused.get(key) and self.opened[key[0]] == self.caps.get(key[0], 0):
+            self.close(self.unused[key][0])  # it has not rested yet: a new one takes its place
         if self.caps is not None and self.opened.get(key[0], 0) >= self.caps.get(key[0], 0):
             self.no_room[key[0]] = self.no_room.get(key[0], 0) + 1
             self.metrics.add("south_over_share")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -467,6 +467,19 @@
         assert other.answer()[0] == 200 and not fresh.seen
 
 
+def test_where_connections_are_bounded_one_that_has_not_rested_makes_room_for_a_new_one() -> None:
+    with rig() as r:
+        r.daemon.south.caps = {"s-0": 1}
+        r.freeze()
+        for number in (1, 2):
+            client = r.ask(number)
+            _, server = r.served()
+            server.answer()
+            server.send(OK)
+            assert client.answer()[0] == 200
+        assert r.daemon.south.count == 1 and r.count("south_over_share") == 0
+
+
 def test_a_connection_that_has_rested_is_used_before_a_fresh_one() -> None:
     with rig() as r:
         r.freeze()
