--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -24,6 +24,7 @@
 CALL_PART, CALL_LOW = 0.45, 0.75  # time for a call: so much of the burst unreported by all, or a store so low
 HASTE = 3.0         # usual latencies that a client must still wait: what it gives up on is work for nothing
 BEYOND = 0.6        # part of a firm's next tries where nothing is known of it (calm days, 196 gateways)
+TOGETHER = 4.0      # bursts that all gateways of a set may let in before they know; more is as above
 SAVED = 2.0         # largest requests of its even share that a gateway saves up
 GAIN, FADE = 0.2, 5.0  # weight of a new latency or error in a server's record; s in which slowness fades
 ASIDE_ERR, ASIDE_SIZE = 0.35, 0.5  # error share that sets a server aside; part of the fleet that may be
@@ -218,7 +219,7 @@
             # Nothing is known of it yet: the first try, and more as far as wrong ones cost less than right
             # ones earn. Each gateway of its set grants that: with many, most of what goes beyond.
             lost = (plan.over_cost - plan.over_worth) * BEYOND / (1 - BEYOND)
-            known = max(r.units, self.s.most_units * (1 - lost))
+            known = max(r.units, self.s.most_units * (1 - lost), TOGETHER * plan.burst / spread)
             level = 0.0 if self.s.leased else self.share(plan, spread, min(self.s.most_units, known))
             share = self.share(plan, spread, self.s.most_units * SAVED)
             self.customers[r.customer] = c = Customer(
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -54,6 +54,12 @@
     assert sent == 50 * tries
 
 
+def test_few_gateways_grant_the_largest_request_whatever_a_wrong_try_costs() -> None:
+    """Three let in no more together than a burst and a half; on small days the strict grant cost 0.04 of the worth."""
+    d = Drive(servers=20, counter=False, plans=[PlanSpec("gold", rate=1.0, burst=9.0, over_cost=2.0)])
+    assert passes(d, 6, spread=3) == 4
+
+
 def test_no_reading_gives_the_even_share() -> None:
     d = Drive(servers=20, counter=False)
     assert passes(d, 30, spread=3) == 6  # 20 / 3
