An ingress acts on agreed work in the turn that brings the word, not at its next look

Cause: Clerk.tick took servers out at its next look, up to 0.2 s after the entry was applied. A process that was stopped in between and let go on serves its sockets before its timers (net/loop.turn), so what clients had sent meanwhile went to a server that it knew to be away.

Change: Clerk.heard takes out, puts back and drains; Agreement calls it (`advanced`) after all that came at once is applied.

Tests: the fleet in virtual time checks after each event that no process may send where its own applied state says away (bound 0 s); each process stopped right after its word; a daemon on sockets; the older state.

--- a/brackenpulley/consensus/agreement.py
+++ b/brackenpulley/consensus/agreement.py
@@ -61,6 +61,7 @@
         self.follower: Follower | None = None
         self.applied: Callable[[Entry], None] = lambda entry: None
         self.restored: Callable[[], None] = lambda: None
+        self.advanced: Callable[[], None] = lambda: None  # after all that came at once is applied, or restored
         self._pending: dict[int, Pending] = {}
         self._number = 0
         self._out: list[tuple[str, bytes]] = []
@@ -84,6 +85,7 @@
         self.source = Source(self.node)
         self._restart_at = inf
         self.restored()
+        self.advanced()
 
     # What it knows.
 
@@ -234,6 +236,7 @@
             elif isinstance(effect, Restore):
                 self.machine.restore(effect.snapshot)
                 self.restored()
+                self.advanced()
 
     def _feed(self) -> None:
         if self.source is not None and self.node is not None and not self.node.halted:
@@ -248,6 +251,7 @@
             if snapshot.config.voters:
                 self._seated(snapshot.config)
             self.restored()
+            self.advanced()
         self._apply(entries)
 
     def _seated(self, config: Config) -> None:
@@ -263,6 +267,8 @@
             self.applied(entry)
             if outcome is not None and outcome.asker == self.id:
                 self._over(outcome.number, outcome)
+        if entries:
+            self.advanced()
 
     def _over(self, number: int, outcome: Outcome | None) -> None:
         if (pending := self._pending.pop(number, None)) is not None:
--- a/brackenpulley/maintenance/clerk.py
+++ b/brackenpulley/maintenance/clerk.py
@@ -50,6 +50,7 @@
         self.bounds, self.settle, self.late = bounds, settle, late
         self.entered = self.leaving = False
         self._blind_until = now + BLIND
+        self._index = 0  # of the newest state that was acted on
         self._away: frozenset[str] = frozenset()
         self._drains = False
         self._busy: set[str] = set()  # proposals that are out
@@ -67,13 +68,14 @@
         if not self.agreement.propose(now, PART, encode(command), patience, over):
             done({"error": "too many calls at once", "field": ""})
 
-    def tick(self, now: float) -> None:
-        if now < self._look_at:
+    def heard(self) -> None:
+        """Something was applied here. Acted on at once: a process that is stopped after a word and before its next look
+        would, once it goes on, send what has come meanwhile to a server that it knows to be away."""
+        index = self.agreement.machine.index
+        if index < self._index:  # a voter made anew from its disk begins with an older state: what it did stands
             return
-        self._look_at = now + AGAIN
+        self._index = index
         permits = self.permits
-        if not self.leaving and permits.roster.get(self.name) != self.agreement.id:
-            self._once(now, "enter", Enter(self.name, self.agreement.id))
         self.entered = permits.roster.get(self.name) == self.agreement.id
         away = frozenset(permits.away())
         if not self.entered:
@@ -87,6 +89,15 @@
         if drains != self._drains:
             self._drains = drains
             self.port.drain(drains)
+
+    def tick(self, now: float) -> None:
+        if now < self._look_at:
+            return
+        self._look_at = now + AGAIN
+        permits = self.permits
+        if not self.leaving and permits.roster.get(self.name) != self.agreement.id:
+            self._once(now, "enter", Enter(self.name, self.agreement.id))
+        self.heard()
         for job in permits.out():
             if self.name in permits.missing(job) and self.entered:
                 left = self.port.held() if job.ingress else self.port.attempts(job.servers)
--- a/brackenpulley/maintenance/service.py
+++ b/brackenpulley/maintenance/service.py
@@ -146,6 +146,7 @@
         bounds = Bounds(told.out, told.zone, told.reserve, told.bears)
         self.clerk = Clerk(self.daemon.config.name, agreement, lambda: self.permits, self.port, bounds, told.settle,
                            told.late, self.loop.clock())
+        agreement.advanced = self.clerk.heard
         self._look()
 
     def _look(self) -> None:
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import base64
+import os
 import random
+import socket
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -323,6 +327,7 @@
         self.tokens: dict[str, int] = {}
         self.wrong: list[str] = []
         self.seen = 0
+        self.reached: dict[tuple[str, int], int] = {}  # by name and life: the newest state that it had
         for name in self.names:
             self.world.add(name, f"a-{name}", self.make)
         self.world.checks.append(self.check)
@@ -335,6 +340,7 @@
         clerk = self.clerks[host.name] = Clerk(
             host.name, part, lambda: part.machine.parts[PART], port, Bounds(2, 1, 0.0, 0.0), 2.0,  # type: ignore
             60.0, self.world.now)
+        part.advanced = clerk.heard
         life = host.life
 
         def look() -> None:
@@ -357,6 +363,13 @@
         return max(parts, key=lambda part: part.machine.index).machine.parts[PART]  # type: ignore[return-value]
 
     def check(self) -> None:
+        for name, clerk in self.clerks.items():
+            host, reached = self.world.host(name), self.reached.get((name, self.world.host(name).life), 0)
+            if host.driven is None or not clerk.entered or clerk.agreement.machine.index < reached:
+                continue  # not there, or made anew from a disk that holds less
+            self.reached[name, host.life] = clerk.agreement.machine.index
+            if left := set(clerk.permits.away()) - self.ports[name].out:
+                self.wrong.append(f"{self.world.now:.3f}: {name} has the word and may send to {sorted(left)}")
         index = max(clerk.agreement.machine.index for clerk in self.clerks.values())
         if index < self.seen:
             return  # whoever had applied most has died: what the rest knows is older
@@ -427,6 +440,82 @@
     assert done, [fleet.permits().row(job) for job in fleet.permits().jobs.values()]
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_one_that_is_stopped_right_after_a_word_sends_nothing_there_when_it_goes_on(seed: int) -> None:
+    """Each process in turn, the leader too: what has come to it meanwhile is sent before its next look."""
+    fleet = Fleet(seed)
+    world, stopped = fleet.world, set[str]()
+    world.run(world.now + 4.0)
+    fleet.ask(JOBS[0])
+
+    def go_on(name: str) -> None:
+        host = world.host(name)
+        world.go_on(host)
+        backlog = [name for name in SERVERS if name not in fleet.ports[host.name].out]
+        for name in backlog:
+            fleet.sent(host, name)
+            if name in fleet.clerks[host.name].permits.away():
+                fleet.wrong.append(f"{host.name} goes on with {name}, which is away")
+
+    def stop() -> None:
+        for name, clerk in fleet.clerks.items():
+            if name not in stopped and clerk.permits.away():
+                stopped.add(name)
+                world.stop(world.host(name))
+                world.at(world.now + 4.0, lambda name=name: go_on(name))  # type: ignore[misc]
+    world.checks.append(stop)
+    assert world.until(lambda: [job.state for job in fleet.permits().jobs.values()] == ["clear"], 60.0)
+    assert stopped == set(fleet.names) and not fleet.wrong, fleet.wrong[:3]
+
+
+class Follows:
+    """An agreement that holds what the test says, and takes no proposals."""
+
+    id, leads = "x@1", False
+
+    def __init__(self) -> None:
+        self.machine = Machine({})
+
+    def propose(self, now: float, part: str, body: bytes, patience: float, done: Any) -> bool:
+        return True
+
+
+def test_a_state_older_than_the_one_acted_on_changes_nothing() -> None:
+    """A voter whose disk took nothing is made anew and begins with its snapshot: what is out since stays away."""
+    fleet = Fleet(1, 1)
+    port, agreement = fleet.ports["v0"], Follows()
+    newer, older = Log().to("clearing").permits, Log().permits
+    held = [newer]
+    clerk = Clerk("x", agreement, lambda: held[0], port, Bounds(), 2.0, 60.0, 0.0)  # type: ignore[arg-type]
+    agreement.machine.index = 9
+    clerk.tick(0.0)
+    assert port.out == {"s0"} and clerk.entered
+    held[0], agreement.machine.index = older, 3
+    clerk.heard()
+    clerk.tick(1.0)
+    assert port.out == {"s0"} and clerk.entered
+    agreement.machine.index = 10
+    clerk.tick(2.0)
+    assert port.out == frozenset()
+
+
+def test_a_daemon_takes_a_server_out_in_the_turn_that_brings_the_word(tmp_path: Path) -> None:
+    host = f"127.{20 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}.1"  # its own: nobody else's ports
+    with socket.create_server((host, 0)) as free:
+        at = f"{host}:{free.getsockname()[1]}"
+    (tmp_path / "keys").write_text(base64.b64encode(b"m" * 32).decode() + "\n")
+    (tmp_path / "keys").chmod(0o600)
+    operator = {"members": {"fleet": "f", "listen": at, "seeds": [], "keys": str(tmp_path / "keys")},
+                "consensus": {"path": str(tmp_path / "log"), "voters": {"n0": at}},
+                "maintenance": {"out": 1, "zone": 1, "reserve": 0.0, "settle_s": 1.0, "late_s": 60.0}}
+    with rig(2, operator=operator) as r:
+        service = r.daemon.maintenance
+        r.until(lambda: bool(service.clerk.entered))
+        service.propose(Ask("h", "ann", ["s-0"], zone="z"), lambda answer: None, 5.0)
+        r.until(lambda: "s-0" in service.permits.away())
+        assert not r.daemon.inventory.usable("s-0") and r.daemon.inventory.usable("s-1")
+
+
 def test_an_ingress_that_cannot_be_reached_holds_a_machine_and_is_named() -> None:
     fleet = Fleet(1)
     world = fleet.world
