--- a/tests/test_work_order.py
+++ b/tests/test_work_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -9,7 +10,7 @@
 
 from benchmarks.rolling_drains import schedule
 from benchmarks.rolling_drains import trial as rolls
-from benchmarks.work_order import trial
+from benchmarks.work_order import Fleet, running, trial
 from brackenpulley.address import ConfigError
 from brackenpulley.operator import decode, load
 
@@ -51,6 +52,34 @@
     assert report["tokens"] == 5 and report["served"] > 150
 
 
+def test_work_after_the_word_is_judged_by_when_the_return_was_agreed_not_by_when_we_saw_it() -> None:
+    fleet = Fleet(3, 1, 1)
+    try:
+        def seen(state: str, since: float, token: int = 4) -> None:
+            fleet._seen(fleet.processes[0], 9, [
+                {"id": "h0", "state": state, "token": token, "since": fleet.offset + since, "zone": "z"}])
+        fleet.arrived = [("s-0", "h0", 4, 100.0, when) for when in (100.2, 103.14, 103.2)]
+        seen("at work", 102.0)
+        assert fleet.late()["s-0"] == pytest.approx(3.2)  # not seen to return: away for good
+        seen("done", 104.15)
+        assert fleet.late()["s-0"] == pytest.approx(3.14)  # it has carried load for 1 s by then
+        seen("returning", 103.1)
+        assert fleet.late()["s-0"] == pytest.approx(0.2)
+        fleet.arrived.append(("s-0", "h0", 4, 100.0, 103.09))
+        assert fleet.late()["s-0"] == pytest.approx(3.09)
+        fleet.arrived.append(("s-0", "h0", 5, 105.0, 109.0))  # another permit: that return says nothing of it
+        assert fleet.late()["s-0"] == pytest.approx(4.0)
+    finally:
+        fleet.close()
+
+
+@pytest.mark.parametrize(("still", "ran"), [
+    ([], 4.0), ([(0.0, 9.0)], 4.0), ([(10.1, 14.1)], 0.1), ([(12.0, inf)], 2.0), ([(10.5, 11.0), (13.0, 13.5)], 3.0),
+    ([(11.0, 13.0), (10.0, 12.0)], 1.0), ([(10.0, 13.0), (11.0, 12.0)], 1.0), ([(14.0, 15.0)], 4.0)])
+def test_a_message_has_the_time_in_which_nothing_stood_still(still: list[tuple[float, float]], ran: float) -> None:
+    assert running(10.0, 14.0, still) == pytest.approx(ran)
+
+
 def test_a_roll_with_faults_never_passes_a_servers_limit() -> None:
     """The short form of benchmarks/rolling_drains: real ingresses, servers that count what they hold."""
     report = rolls(6, 2, 12, 1, calm=2.0, least=0.8)
