The test of another customer's classes waits until a repeat's connection has ended

Cause (by planting it): the test closes the connection of the answered repeat and sends the next message; where the end is not there yet, that message goes over the kept connection, no server sees a new one, and the test waits in vain for 10 s. Ruled out: two servers of which one is set aside.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -636,6 +636,7 @@
                 again.send(OK)
                 assert client.answer()[0] == 200
                 again.close()
+                r.until(lambda: not r.daemon.south.count)  # else the next message goes over it, to no new connection
             r.skip(0.5)
         assert r.count("relays") == sum(1 if effect == "single_shot" else 2 for effect in effects)
 
