--- a/benchmarks/work_order.py
+++ b/benchmarks/work_order.py
@@ -59,10 +59,13 @@
 ZONES = ("hall-a", "hall-b", "hall-c")
 
 
-def free_at(host: str) -> int:
-    """A port that can be listened on there: those of 127.0.0.1 say nothing of another address."""
-    with socket.create_server((host, 0)) as sock:
-        return int(sock.getsockname()[1])
+def free_at(host: str, count: int) -> list[int]:
+    """Different ports that can be listened on there: those of 127.0.0.1 say nothing of another address."""
+    socks = [socket.create_server((host, 0)) for _ in range(count)]
+    ports = [int(sock.getsockname()[1]) for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
 
 
 def running(begin: float, end: float, still: list[tuple[float, float]]) -> float:
@@ -78,10 +81,11 @@
 class Process:
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet, self.number, self.name = fleet, number, f"n{number}"
-        # Of this run alone: at 127.0.0.1 a port that is free now may be anybody's connection when a process starts.
+        # Hardly ever of another run: at 127.0.0.1 a free port may be anybody's connection when its process starts.
         self.host = f"127.{10 + number // 200}.{1 + number % 200}.{1 + os.getpid() % 250}"
-        self.control, self.at = (self.host, free_at(self.host)), (self.host, free_at(self.host))
-        self.address = fleet.relays.add(self.name, (self.host, free_at(self.host)))
+        control, at, members = free_at(self.host, 3)
+        self.control, self.at = (self.host, control), (self.host, at)
+        self.address = fleet.relays.add(self.name, (self.host, members))
         self.process: subprocess.Popen[bytes] | None = None
         self.stopped = False
         self.still: list[tuple[float, float]] = []  # from and to, monotonic, inf while it goes on: stopped
