The counter's late answers are readings, as of when their calls were sent

A call's end (Counted) and its total are two things now: the end lets the next call go, the total comes with it or later as Total, under the call's own number. A total counts as of the sending of its call, the earliest instant that it can speak of: the store is put right by what was granted until then, and what was granted and used since stays. Calls without a total are kept in order; own amounts sent since are never others' use, doubles and totals of a name no longer in use are no readings. What is turned away late is told again. Bookkeeping: policy/calls.py. The pace follows what a call waits above the least latency of the last 5 to 10 s; a time-out slows it as before, and a late total takes that back. Leases hear ends alone, as before.

The test of slow and lost answers sets the counter near first: with no answer before, nobody can tell slow from far.

--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -23,7 +23,8 @@
 
 
 class Counter(Protocol):
-    def add(self, name: int, amount: float, ttl: float) -> None: ...
+    def add(self, name: int, amount: float, ttl: float, number: int = 0) -> None:
+        """`number` is told again with a Total."""
 
 
 class Plans(Protocol):
@@ -207,11 +208,11 @@
         self.listed = self.listed or bool(change.entries)
         self._put(change)
 
-    def counted(self, event: i.Counted) -> None:
-        if self.leases is not None:
-            self.leases.counted(event)
-        else:
+    def counted(self, event: i.Counted | i.Total) -> None:
+        if self.leases is None:
             self._put(event)
+        elif isinstance(event, i.Counted):  # a lease that was given up on stays so, whatever is heard of it later
+            self.leases.counted(event)
 
     def tell(self, event: i.PlanFigures | i.Moved | i.Settle | i.Allow | i.Gateways | i.Shares) -> None:
         """What the plan book, a reservation's end, a lease or the fleet has for the module."""
@@ -356,7 +357,7 @@
 
     def _count(self, a: i.Count) -> None:
         self.metrics.add("counts")
-        self.counter.add(a.name, a.amount, a.ttl)
+        self.counter.add(a.name, a.amount, a.ttl, a.call)
 
     def _timer(self, a: i.SetTimer) -> None:
         self.timers.call_at(self.clock() + a.delay, lambda: self._put(i.Timer(a.token)))
--- a/brackenpulley/growth/tally.py
+++ b/brackenpulley/growth/tally.py
@@ -45,5 +45,5 @@
         g = self.gateway
         return {"up": len(g.servers.up), "aside": g.servers.aside_up(),
                 "out": sum(len(s.out) for s in g.servers.busy.values()),
-                "pace": round(g.pace, 2), "gap": round(g.gap, 3), "firms": len(g.customers),
+                "pace": round(g.pace, 2), "gap": round(g.calls.gap, 3), "firms": len(g.customers),
                 "rates": {name: round(x.rate, 2) for name, x in g.loops.items()}}
--- a/brackenpulley/net/counter.py
+++ b/brackenpulley/net/counter.py
@@ -90,10 +90,10 @@
 
 
 class Call:
-    __slots__ = ("name", "data", "at", "timer", "open")
+    __slots__ = ("name", "number", "data", "at", "timer", "open")
 
-    def __init__(self, name: int, data: bytes, at: float) -> None:
-        self.name, self.data, self.at = name, data, at
+    def __init__(self, name: int, number: int, data: bytes, at: float) -> None:
+        self.name, self.number, self.data, self.at = name, number, data, at
         self.timer: Timer | None = None
         self.open = True  # the module has not been told yet how it ended
 
@@ -169,9 +169,9 @@
                 break
             call = self.out.popleft()
             if isinstance(answer, float):
-                self.client.end(call, "ok", answer)
+                self.client.answered(call, "ok", answer)
             else:  # -BUSY and -ERR alike: nothing was added
-                self.client.end(call, "full")
+                self.client.answered(call, "full")
         if not good:
             self.client.metrics.add("count_spoilt" if data else "count_ends")
             self.broken()
@@ -216,19 +216,19 @@
 
 
 class CounterClient:
-    """Every call is told exactly one end."""
+    """Every call is told exactly one end; one that ended with `timeout` may be told a Total after it, once."""
 
     def __init__(self, loop: Loop, pool: Pool, at: Address, timeout: float, metrics: Metrics,
-                 tell: Callable[[i.Counted], None]) -> None:
+                 tell: Callable[[i.Counted | i.Total], None]) -> None:
         self.loop, self.pool, self.at, self.timeout, self.metrics = loop, pool, at, timeout, metrics
         self.tell = tell
         self._line: Line | None = None
         self._retired: set[Line] = set()
         self._failed = -1e9
 
-    def add(self, name: int, amount: float, ttl: float) -> None:
+    def add(self, name: int, amount: float, ttl: float, number: int = 0) -> None:
         now = self.loop.clock()
-        call = Call(name, encode(name, amount, ttl), now)
+        call = Call(name, number, encode(name, amount, ttl), now)
         line = self._line
         if line is not None and line.up and line.idle:
             if now - line.used > UNUSED or sockets.waiting(line.sock) is not None:
@@ -271,9 +271,15 @@
             if not line.up:  # refused, or never came up: it is not tried again at once
                 self._failed = self.loop.clock()
 
-    def end(self, call: Call, status: str, total: float = 0.0) -> None:
-        if not call.open:  # the answer to a call given up on: matched in order and dropped
+    def answered(self, call: Call, status: str, total: float = 0.0) -> None:
+        if call.open:
+            self.end(call, status, total)
+        else:  # it was given up on, and its answer came all the same
             self.metrics.add("count_late")
+            self.tell(i.Total(call.number, status, total, self.loop.clock() - call.at))
+
+    def end(self, call: Call, status: str, total: float = 0.0) -> None:
+        if not call.open:  # given up on, and lost with its connection: nothing more is known of it
             return
         call.open = False
         if call.timer is not None:
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from . import interface as i
+from .calls import Call, Calls
 from .state import NEVER, ClassRecord, Customer, Customers, Held, Server, Servers
 
 # Latency loop: the paper's figure 4 and section 3.3.
@@ -89,12 +90,11 @@
         self.customers, self.servers, self.reqs = Customers(), Servers(), dict[str, Held]()
         self.note_gap = max(NOTE_GAP, 1.5 * (settings.gateways - 1) / max(settings.peer_per_s, 1.0))
         self.by_notes = settings.peers and self.note_gap <= STALE / 5  # fresh against a burst
-        self.note_at = self.servers.warm_at = self.call_at = self.called = now
+        self.note_at = self.servers.warm_at = now
         self.pace = self.good = self.out = 0.0
         self.asked: deque[str] = deque(maxlen=3)  # names: a restart makes a new record
         self.token, self.watched, self.watch_at = 0, False, NEVER
-        self.gap = min(PACE_MAX, max(GAP / 2, settings.gateways / FIRST_CALLS))  # all may begin at once
-        self.counting = -1  # the call that is out
+        self.calls = Calls(now, min(PACE_MAX, max(GAP / 2, settings.gateways / FIRST_CALLS)))
         self.acts: list[i.Action] = []
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
@@ -293,11 +293,12 @@
         else:
             c.fill(c.plan.rate / c.spread, c.share, dt)
 
-    def learn(self, now: float, c: Customer, used: float, since: float) -> None:
-        """The others have used this much since then: put the store right."""
-        dt = max(0.0, now - since)
+    def learn(self, now: float, c: Customer, used: float, since: float, call: Call | None = None) -> None:
+        """The others used this much since then, until now or until `call` went: put the store right."""
         self.fill(now, c)
-        c.read(now, used, dt, self.known(now, c))
+        at, granted = (call.at, call.granted) if call else (now, c.granted)
+        dt = max(0.0, at - since)
+        c.read(at, granted, used, dt, self.known(now, c))
         c.others += dt / (dt + 1.0) * (used / max(dt, BEAT) - c.others)
 
     def over_quota(self, now: float, c: Customer, units: float) -> float:
@@ -327,32 +328,39 @@
 
     def call(self, now: float) -> None:
         """One call at a time, most unsaid first: many at once wait for each other until they are given up."""
-        if now < self.call_at or not (ready := self.customers.callable(now)):
+        if now < self.calls.next_at or not (ready := self.customers.callable(now)):
             return
-        c = max(ready, key=lambda c: abs(c.unsaid) / c.plan.burst)
-        self.customers.to_tell(c, False)
-        name = int(now // EPOCH) % (1 << 29) << 33 | c.key % (1 << 33)
-        c.called(name, now + GAP)
-        self.counting, self.called, self.call_at = name, now, now + max(self.gap, 2 * self.s.counter_timeout)
-        self.acts.append(i.Count(name, c.calling, 2 * EPOCH))
+        self.customers.to_tell(c := max(ready, key=lambda c: abs(c.unsaid) / c.plan.burst), False)
+        self.fill(now, c)  # its total speaks of now at the earliest: what was granted until then counts
+        wait = max(self.calls.gap, 2 * self.s.counter_timeout)
+        c.called(call := self.calls.begin(now, int(now // EPOCH), c.key, wait), now + GAP)
+        self.acts.append(i.Count(call.name, call.amount, 2 * EPOCH, call.serial))
 
     def counted(self, now: float, e: i.Counted) -> None:
-        if e.name != self.counting:
-            return
-        self.counting, slow = -1, e.latency > CALL_SLOW * self.s.counter_timeout
-        pace = BACK if e.status != "ok" else SLOWER if slow else FASTER
-        self.gap = min(PACE_MAX, max(PACE_MIN, self.gap * pace))
-        self.call_at = self.called + self.gap * (0.5 + self.rng.random())  # gateways never fall into step
-        c = self.customers.get(e.name % (1 << 33))
-        if c is None or e.name != c.name:
-            return
-        if e.status == "ok":
-            used = c.answered(e.total)
-            if used > -0.5:  # a total below what was added from here: the counter came back empty
-                self.learn(now, c, max(0.0, used), max(now - now % EPOCH, c.born - EPOCH, c.read_at))
-        else:
-            c.unanswered(e.status == "timeout")
-        self.note_use(now, c)
+        if call := self.calls.end(e.name, e.status == "timeout"):
+            self.paced(now, e, 1.0)
+            self.told(now, call, e)
+
+    def total(self, now: float, e: i.Total) -> None:
+        if call := self.calls.heard(e.call):
+            self.paced(now, e, BACK)  # it was not lost: that is taken back, and the answer judged as it is
+            self.told(now, call, e)
+
+    def paced(self, now: float, e: i.Counted | i.Total, back: float) -> None:
+        """The pace follows what a call waits at the counter; the way there says nothing of its load."""
+        wait = self.calls.waited(now, e.latency) / self.s.counter_timeout if e.status == "ok" else math.inf
+        pace = (BACK if wait > 1 else SLOWER if wait > CALL_SLOW else FASTER) / back
+        self.calls.gap = gap = min(PACE_MAX, max(PACE_MIN, self.calls.gap * pace))
+        if not self.calls.out:
+            self.calls.next_at = self.calls.sent_at + gap * (0.5 + self.rng.random())  # never into step
+
+    def told(self, now: float, call: Call, e: i.Counted | i.Total) -> None:
+        if c := self.customers.get(call.key):
+            if e.status == "ok" and (used := c.answered(call, e.total)) is not None:
+                self.learn(now, c, used, max(call.at - call.at % EPOCH, c.born - EPOCH, c.read_at), call)
+            elif e.status not in ("ok", "timeout"):
+                c.unadded(call)
+            self.note_use(now, c)
         self.call(now)
 
     def note(self, now: float, e: i.PeerNote) -> None:
@@ -511,7 +519,7 @@
 
 DOES: dict[type, Callable[[Gateway, float, Any], None]] = {
     i.Request: Gateway.request, i.Whole: Gateway.whole, i.Outcome: Gateway.outcome,
-    i.Started: Gateway.started, i.Gone: Gateway.gone,
+    i.Started: Gateway.started, i.Gone: Gateway.gone, i.Total: Gateway.total,
     i.ServerList: Gateway.members, i.Probed: Gateway.probed, i.Counted: Gateway.counted,
     i.PeerNote: Gateway.note, i.Timer: Gateway.beat, i.PlanFigures: Gateway.figures, i.Moved: Gateway.moved,
     i.Reserve: Gateway.reserve, i.Settle: Gateway.settle, i.Allow: Gateway.allow, i.Gateways: Gateway.fleet,
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -207,8 +207,23 @@
 
 @dataclass(slots=True)
 class Counted:
+    """A call's end, told once for each: the next call may go. Its total comes with `ok`; after `timeout`, where it
+    may have been added, an answer can still come as Total; `full` and `connect_failed`: nothing was added."""
+
     name: int
-    status: str
+    status: str  # ok full timeout connect_failed
+    total: float = 0.0
+    latency: float = 0.0
+
+
+@dataclass(slots=True)
+class Total:
+    """The late answer to a call that ended with `timeout`: at most one for each, in the order of the calls.
+
+    It ends nothing. The total speaks of an instant between the call's sending and now."""
+
+    call: int  # the number that its Count had
+    status: str  # ok; full: nothing was added
     total: float = 0.0
     latency: float = 0.0
 
@@ -292,8 +307,8 @@
     most: dict[str, int]
 
 
-Event = (ServerList | Request | Whole | Outcome | Started | Gone | Probed | Counted | PeerNote | Timer | PlanFigures
-         | Moved | Reserve | Settle | Allow | Gateways | Shares)
+Event = (ServerList | Request | Whole | Outcome | Started | Gone | Probed | Counted | Total | PeerNote | Timer
+         | PlanFigures | Moved | Reserve | Settle | Allow | Gateways | Shares)
 
 
 # Actions
@@ -335,6 +350,7 @@
     name: int
     amount: float
     ttl: float
+    call: int = 0  # its number at this gateway, for Total
 
 
 @dataclass(slots=True)
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -8,6 +8,7 @@
 from itertools import accumulate
 from math import inf
 
+from .calls import Call
 from .interface import ClassSpec, PlanSpec, Request, ServerEntry, Settings
 
 NEVER = -1e18
@@ -58,17 +59,17 @@
     born: float
     seen_at: float
     next_call: float
-    granted: float = 0.0  # filled since the last reading
+    granted: float = 0.0  # filled in all
+    granted_read: float = 0.0  # of it, up to the last reading
     own: float = 0.0  # recent use here, units a second
     others: float = 0.0  # recent use elsewhere, units a second
     unsaid: float = 0.0  # used here, not yet reported
     used: float = 0.0  # used here in all
     told: tuple[int, int] = (0, 0)  # used in all and attempts out, as the peers were told last
-    read_at: float = NEVER  # last reading
+    read_at: float = NEVER  # the time that the last reading speaks of
     name: int = -1  # counter name in use
     total: float = 0.0  # last total under that name
-    unsure: float = 0.0  # reported without an answer
-    calling: float = 0.0  # amount of the call that is out
+    calls: list[Call] = field(default_factory=list)  # under that name, in their order, without a total so far
     open: int = 0
     others_open: dict[int, float] = field(default_factory=dict)
     told_by: dict[int, int] = field(default_factory=dict)  # peer: its use in all, as told last
@@ -86,16 +87,17 @@
         new = min(cap, self.level + max(0.0, rate) * dt)
         self.level, self.granted = new, self.granted + new - self.level
 
-    def read(self, now: float, used: float, dt: float, told: bool) -> None:
-        """The others used this much in `dt`: the store is put right, and falls below nothing by own use alone.
+    def read(self, at: float, granted: float, used: float, dt: float, told: bool) -> None:
+        """The others used this much in `dt` up to `at`: the store is put right, below nothing by own use alone.
 
+        `granted` is what had been filled in all by then: what was granted or used here since is not in question.
         `told`: there was a reading not long before, so that only what was granted since it is in question."""
         least = min(0.0, self.level)
         if told:
-            self.level += self.plan.rate * dt - used - self.granted
+            self.level += self.plan.rate * dt - used - (granted - self.granted_read)
         else:
             self.level += self.plan.burst - self.share - max(0.0, used - self.plan.rate * dt)
-        self.level, self.granted, self.read_at = min(self.plan.burst, max(least, self.level)), 0.0, now
+        self.level, self.granted_read, self.read_at = min(self.plan.burst, max(least, self.level)), granted, at
 
     def moved(self, now: float, plan: PlanSpec, share: float, told: bool, leased: bool) -> None:
         """Another plan, or other figures of the same: what is missing from the full store goes on missing."""
@@ -106,6 +108,8 @@
             self.level += plan.burst - old.burst if told else share - old_share
         if told:  # the next reading fills at the new rate since the last one: before now it was the old rate
             self.granted += (plan.rate - old.rate) * (now - self.read_at)
+            for call in self.calls:  # its total may still come, and speaks of then
+                call.granted += (plan.rate - old.rate) * max(0.0, call.at - self.read_at)
         if old.ceiling_rate and plan.ceiling_rate:
             self.ceil += (plan.ceiling_room - old.ceiling_room) / self.spread
         else:
@@ -126,26 +130,34 @@
             return float(used) if used <= self.plan.burst else 0.0
         return float(used if used < last else used - last)  # less than last: the peer began anew
 
-    def called(self, name: int, again: float) -> None:
-        """What is not reported yet is on its way under this name, and nothing more before `again`."""
-        if name != self.name:
-            self.name, self.total, self.unsure = name, 0.0, 0.0
-        self.calling, self.unsaid, self.next_call = self.unsaid, 0.0, again
-
-    def answered(self, total: float) -> float:
-        """The call that was out is answered: what others added since the last one."""
-        others = total - self.total - self.calling
-        others -= min(max(0.0, others), self.unsure)
-        self.total, self.unsure, self.calling = total, 0.0, 0.0
-        return others
-
-    def unanswered(self, added: bool) -> None:
-        """The call that was out failed; it may have been added all the same, or is to be told again."""
-        if added:
-            self.unsure += self.calling
-        else:
-            self.unsaid += self.calling
-        self.calling = 0.0
+    def called(self, call: Call, again: float) -> None:
+        """What is not reported yet is on its way with this call, and nothing more before `again`."""
+        if call.name != self.name:  # totals under the name before are history
+            self.name, self.total, self.calls = call.name, 0.0, []
+        call.amount, call.granted, self.unsaid, self.next_call = self.unsaid, self.granted, 0.0, again
+        self.calls.append(call)
+
+    def answered(self, call: Call, total: float) -> float | None:
+        """The call's total, in time or late: what others added between the last one and this.
+
+        Answers come in the order of the calls, so a call before it that has no total will never have one, and may have
+        been added or not. None where this is no reading: told before, of a name no longer in use, or below what is
+        known to have been added, which says that the counter came back empty."""
+        if call not in self.calls:
+            return None
+        at = self.calls.index(call)
+        unsure = sum(x.amount for x in self.calls[:at])
+        del self.calls[:at + 1]
+        others = total - self.total - call.amount
+        others -= min(max(0.0, others), unsure)
+        self.total = total
+        return max(0.0, others) if others > -0.5 else None
+
+    def unadded(self, call: Call) -> None:
+        """The call was turned away: its amount is to be told again."""
+        if call in self.calls:
+            self.calls.remove(call)
+            self.unsaid += call.amount
 
 
 class Customers(dict[int, Customer]):
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -52,7 +52,7 @@
 
 
 class NoCounter:
-    def add(self, name: int, amount: float, ttl: float) -> None:
+    def add(self, name: int, amount: float, ttl: float, number: int = 0) -> None:
         raise AssertionError("the settings allow no counting")
 
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -19,6 +19,7 @@
     ServerEntry,
     ServerList,
     Timer,
+    Total,
 )
 
 from .util import Drive, of
@@ -115,6 +116,10 @@
     def count(self, name: int, status: str, total: float) -> None:
         self.see(self.d.do(Counted(name, status, total)))
 
+    @rule(call=st.integers(0, 12), status=st.sampled_from(["ok", "full"]), total=st.floats(0, 50))
+    def late(self, call: int, status: str, total: float) -> None:
+        self.see(self.d.do(Total(call, status, total, 0.06)))
+
     @rule(data=st.text(max_size=40))
     def peer(self, data: str) -> None:
         self.see(self.d.do(PeerNote(1, data)))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,6 +27,7 @@
 from brackenpulley.net.counter import encode as encode_call
 from brackenpulley.net.requests import Fault, Reader
 from brackenpulley.net.south import Trust
+from brackenpulley.policy.interface import Counted, Total
 
 from .rig import Peer, Rig, rig
 from .test_link import SETTINGS
@@ -442,10 +443,17 @@
 def test_the_counter_is_told_and_each_way_it_can_fail_has_its_outcome() -> None:
     with rig(counter=True) as r:
         ends: list[tuple[str, float]] = []
+        late: list[tuple[int, str, float]] = []
         client = r.daemon.counter
         assert client is not None
-        client.tell = lambda e: ends.append((e.status, e.total))
-        client.add(5, 1.5, 4.0)
+
+        def tell(e: Counted | Total) -> None:
+            if isinstance(e, Counted):
+                ends.append((e.status, e.total))
+            else:
+                late.append((e.call, e.status, e.total))
+        client.tell = tell
+        client.add(5, 1.5, 4.0, 71)
         wire = r.counter.accept()
         assert wire.until(b"4000\r\n") == b"*4\r\n$7\r\nCNT.ADD\r\n$1\r\n5\r\n$3\r\n1.5\r\n$4\r\n4000\r\n"
         r.skip(0.04)
@@ -455,6 +463,7 @@
         wire.send(b"$1\r\n3\r\n$2\r\n12\r\n-BUSY\r\n")  # the first one answers the call given up on
         r.until(lambda: len(ends) == 3)
         assert ends[1:] == [("ok", 12.0), ("full", 0.0)] and r.count("count_late") == 1
+        assert late == [(71, "ok", 3.0)]
         client.add(8, 1, 4.0)
         wire.until(b"$1\r\n8\r\n")
         wire.reset()
@@ -464,7 +473,7 @@
         r.skip(0.1)
         client.add(9, 1, 4.0)
         r.until(lambda: len(ends) == 5)
-        assert ends[4][0] == "connect_failed"
+        assert ends[4][0] == "connect_failed" and len(late) == 1
 
 
 def chunk(obj: Any) -> bytes:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -186,18 +186,19 @@
     paces = []
     for status, latency in (("ok", 0.001), ("ok", 0.045), ("timeout", 0.05)):
         d = Drive(counter_timeout=0.05)
+        d.g.calls.waited(d.now, 0.001)  # it is near: an answer came quickly before
         for _ in range(9):
             d.ask(spread=3)
         call, = of(Count, d.log)
         d.do(Counted(call.name, status, call.amount, latency))
-        paces.append(d.g.gap)
+        paces.append(d.g.calls.gap)
     assert paces == sorted(paces) and len(set(paces)) == 3
 
 
 def test_a_counter_that_turns_calls_away_is_asked_less_often() -> None:
     """With a crowded counter nine calls of ten were turned away, and all were repeated at once."""
     d = Drive(servers=20)
-    start = d.g.gap
+    start = d.g.calls.gap
     for _ in range(8):
         d.ask(spread=3)
     for _ in range(20):
@@ -206,11 +207,11 @@
         d.log.clear()
         d.now += 1.6
         d.ask(spread=3)
-    assert d.g.gap > 5 * start
+    assert d.g.calls.gap > 5 * start
     for call in of(Count, d.log):
-        grown = d.g.gap
+        grown = d.g.calls.gap
         d.do(Counted(call.name, "ok", 100.0))
-        assert d.g.gap < grown
+        assert d.g.calls.gap < grown
 
 
 def test_open_cap_is_shared_and_leaves_one_for_what_the_peers_sent_since() -> None:
