--- a/tests/test_counter_late.py
+++ b/tests/test_counter_late.py
@@ -41,9 +41,10 @@
             break
         for send in of(Send, d.ask(spread=3)):
             d.do(Outcome(send.id, send.server, 0, "ok", 0.05, closed=True))
-    while not of(Count, d.log):
-        d.now += 0.05
-        d.do(Timer(d.g.token))
+    for _ in range(40):
+        if not of(Count, d.log):
+            d.now += 0.05
+            d.do(Timer(d.g.token))
     call, = of(Count, d.log)
     d.log.clear()
     return call
@@ -71,6 +72,19 @@
     assert c.level > before + 5  # all of the store is known of now, not this gateway's share alone
 
 
+def test_what_was_granted_up_to_a_call_is_known_when_it_is_sent() -> None:
+    """Else a part of it counts as granted after the call, and the reading grants it a second time."""
+    d = drive()
+    busy(d)
+    c = d.g.customers[1]
+    c.unsaid, at = 5.0, c.at
+    d.g.customers.to_tell(c, True)
+    d.now += 0.7
+    call, = of(Count, d.do(Timer(d.g.token)))
+    assert c.at == d.now > at and c.calls[-1].serial == call.call
+    assert c.calls[-1].granted == c.granted > 0
+
+
 @pytest.mark.parametrize("after", [0.025, 0.4])
 def test_what_is_granted_and_used_while_the_total_is_on_its_way_is_left_as_it_is(after: float) -> None:
     """In time or late, a total says the same, and then the same of the store at the time of the call."""
@@ -147,7 +161,7 @@
         lost(d, third)
         c = d.g.customers[1]
         late(d, third, first.amount + second.amount * added + third.amount)
-        assert c.others == 0 and not c.calls
+        assert c.others == 0 and not c.calls and not d.g.calls.late
         late(d, second, first.amount + second.amount)  # cannot be: it would be out of turn
         assert c.total == first.amount + second.amount * added + third.amount
 
@@ -410,6 +424,21 @@
         assert told == [("end", 5, "timeout", 0.0), ("end", 5, "ok", 2.0)] and r.count("count_late") == 0
 
 
+def test_leases_hear_of_ends_alone() -> None:
+    """A late total would be taken for the answer to the call that is out under the same name."""
+    heard_of: list[Counted | Total] = []
+
+    class Leases:
+        counted = heard_of.append
+
+    with rig(counter=True) as r:
+        r.daemon.ingress.leases = Leases()  # type: ignore[assignment]
+        r.daemon.ingress.counted(end := Counted(5, "timeout"))
+        r.daemon.ingress.counted(Total(0, "ok", 3.0, 0.05))
+        r.daemon.ingress.leases = None
+    assert heard_of == [end]
+
+
 def test_an_ingress_knows_a_firm_by_a_counter_that_only_answers_late() -> None:
     """The whole way: the call times out, its total comes, and the store of the firm is put right by it."""
     told = copy.deepcopy(SETTINGS)
