--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -524,11 +524,25 @@
         """A client whose bytes are not read can be gone all the same: nothing is begun for it then."""
         self._looks = None
         for client in list(self.unread):
-            if sockets.left(client.sock):
+            if not client.reading:  # its end may wait behind what has no room here: a little is read, and lost
+                self._lose(client)
+            if client in self.clients and sockets.left(client.sock):
                 self.close(client)
         if self.unread:
             self._looks = self.loop.call_in(LOOK, self._look)
 
+    def _lose(self, client: Client) -> None:
+        buffer = self.pool.take()
+        try:
+            if not client.sock.recv_into(buffer):
+                self.close(client)
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.close(client)
+        finally:
+            self.pool.give(buffer)
+
     def close(self, client: Client) -> None:
         """The one place where a client's connection is given back."""
         if client not in self.clients:
