--- a/brackenpulley/members/transport.py
+++ b/brackenpulley/members/transport.py
@@ -18,7 +18,7 @@
 from .keys import KeyRing, PacketError, Replays
 from .protocol import Changed, Effect, Protocol, Send, Timing
 from .station import Station
-from .wire import LARGEST, Carry, Digest, Envelope, Message, Records, Sync, seal, unseal
+from .wire import LARGEST, Carry, Digest, Envelope, Message, Records, Sync, kind_of, seal, unseal
 
 STREAM = 1 << 20  # bytes of a stream's message
 STREAMS, PATIENCE = 64, 2.0  # at once, and s for each
@@ -164,8 +164,17 @@
             self.dropped("malformed")
             return
         self.metrics.add("members_heard")
+        self._counted("heard", body, len(data))
         self._do(self.station.receive(self.loop.clock(), source, body))
 
+    def _counted(self, way: str, body: Message, size: int) -> None:
+        """By kind: messages, and bytes as sealed, without the headers of the network below."""
+        kind = kind_of(body)
+        if isinstance(body, Carry) and (self.station is None or body.kind not in self.station.parts):
+            kind = "carry"  # against as many counters as a stranger's version has parts
+        self.metrics.add(f"members_{way}_{kind}")
+        self.metrics.add(f"members_{way}_{kind}_bytes", size)
+
     def dropped(self, cause: str) -> None:
         self.metrics.add("members_dropped_" + cause)
 
@@ -185,6 +194,7 @@
             self.dropped("address")
             return
         data = self._sealed(send.body)
+        self._counted("sent", send.body, len(data))
         if not send.stream:
             self.metrics.add("members_sent")
             with contextlib.suppress(OSError):  # a datagram may be lost anywhere; here as well
--- a/brackenpulley/members/wire.py
+++ b/brackenpulley/members/wire.py
@@ -104,6 +104,11 @@
 _decode = msgspec.msgpack.Decoder(Envelope).decode
 
 
+def kind_of(body: Message) -> str:
+    """As counters name it: the message's type, and for a part's word the part."""
+    return f"carry_{body.kind}" if isinstance(body, Carry) else type(body).__name__.lower()
+
+
 def size_of(update: Update) -> int:
     return encoded_size(update)
 
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -57,10 +57,12 @@
 
 
 class Daemon:
-    def __init__(self, config: Config, log: Any, clock: Callable[[], float] | None = None) -> None:
+    def __init__(self, config: Config, log: Any, clock: Callable[[], float] | None = None,
+                 loop: Loop | None = None) -> None:
+        """`loop`: one that this daemon is run on by its caller, who closes it."""
         self.config, self.log, self.metrics = config, log, Metrics()
         self.clock = clock or wall_clock()
-        self.loop = Loop(self.clock, self.metrics, log)
+        self.loop = loop or Loop(self.clock, self.metrics, log)
         self.pool = Pool()
         self.born = self.clock()
         told = config.operator
