--- a/benchmarks/scale/child.py
+++ b/benchmarks/scale/child.py
@@ -141,9 +141,12 @@
 
     def close(self) -> None:
         assert self.process.stdin is not None and self.process.stdout is not None
-        self.process.kill()
-        self.process.wait()
         self.process.stdin.close()
+        try:
+            self.process.wait(5.0)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
         self.process.stdout.close()
 
 
