--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -100,7 +100,8 @@
         entered = [one.daemon.maintenance is None or bool(one.daemon.maintenance.clerk.entered)
                    for one in self.there.values()]
         return {"there": len(members), "waits": len(self.waits) + len(self.queue),
-                "members": [min(members), max(members)], "index": [min(indexes), max(indexes)], "entered": sum(entered), "took": self.took}
+                "members": [min(members), max(members)], "index": [min(indexes), max(indexes)],
+                "entered": sum(entered), "took": self.took}
 
     def ask_counts(self) -> dict[str, Any]:
         counts = Tally(self.gone)
