--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -70,7 +70,7 @@
         told, world = self.told, self.world
         self.began = time.monotonic()
         load = os.getloadavg()[0]
-        started = world.start(START)
+        started = world.start(min(START, 2 * told.patience))
         self.say(f"started: {started}")
         whole = self.step("the start", lambda: world.until(world.whole, told.patience, f"whole: {world.states()}"))
         self.say(f"whole after {whole}")
@@ -113,7 +113,8 @@
                 "calm": calm, "loaded": loaded, "trouble": trouble, "restartsOfIngresses": self.restarts,
                 "clients": {"tries": len(tries), "served": served},
                 "limits": limits(calm, loaded, calm["bare"]) if told.real else [],
-                "processes": len(world.pids()) + 1, "mostMb": round(world.most_mb), "wrong": self.wrong}
+                "folder": str(world.folder), "processes": len(world.pids()) + 1,
+                "mostMb": round(world.most_mb), "wrong": self.wrong}
 
     def _loaded(self, seconds: float) -> None:
         """Traffic, and in it a change agreed and a death, one after the other, and ingresses that restart."""
@@ -123,7 +124,7 @@
         for _ in range(self.told.changes):
             if world.hosts:
                 self.step("a change agreed", self._agree)
-        if world.hosts and self.told.deaths and until - time.monotonic() > 5.0:
+        for _ in range(self.told.deaths if world.hosts else 0):
             self.step("a death known", self._death)
         if (left := until - time.monotonic()) > 0:
             world.turn(left)
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -23,11 +23,12 @@
 from brackenpulley.net.http import Payload
 from brackenpulley.net.loop import READ
 from brackenpulley.simulation.links import Link as Way
-from brackenpulley.standins.hollow import Firm, Hollow, Place
+from brackenpulley.standins.hollow import Firm, Hollow, Place, operator
 from brackenpulley.standins.links import Relays
 from brackenpulley.standins.servers import HEARTBEAT, Counter
 from brackenpulley.standins.wire import Line, Listener
 
+MOST = 40  # that start at once
 LOOK = 0.05  # s between looks at those that are not whole yet
 KEPT = 4000  # changes of the list that one who watches again may be told
 AWAY = 0.5  # s that a restarted server drains, and again until its next life is listed
@@ -45,7 +46,7 @@
         self.waits: dict[str, float] = {}  # not whole yet: when they were started
         self.took: list[list[float]] = []  # s until ready, until the list is whole
         self.queue: deque[str] = deque()  # to be started
-        self.ready_at: dict[str, float] = {}
+        self.listed_at: dict[str, float] = {}
         self.deaths: dict[str, list[float]] = {}  # by name: when one here took it for dead
         self.applied: dict[int, list[float]] = {}  # by index
         self.agreed: dict[str, Any] = {}
@@ -55,7 +56,7 @@
         row = self.rows[name]
         place = Place(**{**row["place"], "seeds": tuple(row["place"]["seeds"]),
                          "voters": tuple(tuple(pair) for pair in row["place"]["voters"])})
-        one = Hollow(self.loop, place, row["config"], self.told["parts"],
+        one = Hollow(self.loop, place, row["config"], operator(place, self.told["parts"]),
                      [Firm(**firm) for firm in row["firms"]], Silent(), self.rng.getrandbits(32))
         one.dead, one.applied = self._dead, lambda entry: self._applied(entry.index)
         self.there[name] = one
@@ -72,17 +73,22 @@
 
     def _look(self) -> None:
         now = time.monotonic()
-        while self.queue and len(self.waits) < self.told["at_once"]:
+        unlisted = sum(not self._whole(name) for name in self.waits)
+        while self.queue and unlisted < self.told["at_once"] and len(self.waits) < MOST:
             self._make(self.queue.popleft())
+            unlisted += 1
         for name, since in list(self.waits.items()):
-            daemon = self.there[name].daemon
-            if daemon.ready():
-                self.ready_at.setdefault(name, now)
-            if name in self.ready_at and len(daemon.inventory) >= self.told["servers"] * 9 // 10:
-                self.took.append([self.ready_at.pop(name) - since, now - since])
+            if self._whole(name):
+                self.listed_at.setdefault(name, now)
+            if name in self.listed_at and self.there[name].daemon.ready():
+                self.took.append([now - since, self.listed_at.pop(name) - since])
                 del self.waits[name]
         self.loop.call_in(LOOK, self._look)
 
+    def _whole(self, name: str) -> bool:
+        """Its list is there, but for servers that are being restarted."""
+        return len(self.there[name].daemon.inventory) >= self.told["servers"] * 9 // 10
+
     def ask_start(self, names: list[str]) -> bool:
         """Few at once: a whole list has to be taken in within seconds (net/watching), and all share a core here."""
         self.queue.extend(names)
@@ -124,7 +130,7 @@
         one = self.there.pop(name)
         self.gone.update({key: value for key, value in one.daemon.metrics.counts.items() if key != "longest_turn_us"})
         self.waits.pop(name, None)
-        self.ready_at.pop(name, None)
+        self.listed_at.pop(name, None)
 
     def ask_watch(self, names: list[str]) -> bool:
         self.deaths = {name: [] for name in names}
--- a/benchmarks/scale/world.py
+++ b/benchmarks/scale/world.py
@@ -20,7 +20,6 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.plan_changes import free_ports
 from benchmarks.scale.child import ROOT, Child, Silent, used
 from benchmarks.work_order import free_at
 from brackenpulley.fleet.caller import Call
@@ -56,9 +55,11 @@
 class Real:
     """A daemon as a process, `kind` real, voter or bare: one with nothing switched on, to compare with."""
 
-    def __init__(self, world: World, kind: str, place: Place, port: int, control: int) -> None:
+    def __init__(self, world: World, kind: str, place: Place) -> None:
+        """It listens at a host of its own, so that no connection of others takes its port before it does."""
         self.world, self.kind, self.place = world, kind, place
-        self.at, self.control = ("127.0.0.1", port), ("127.0.0.1", control)
+        host = place.listen.partition(":")[0]
+        self.at, self.control = (host, free_at(host)), f"{place.folder}/control.sock"
         self.process: subprocess.Popen[bytes] | None = None
         self.began = self.ready_after = self.whole_after = 0.0
         self.log = Path(place.folder) / "log.txt"
@@ -66,8 +67,9 @@
 
     def start(self) -> None:
         folder, place = Path(self.place.folder), self.place
-        (folder / "config.json").write_text(json.dumps(self.world.config(place, self.kind, self.at[1])))
-        tables = {"control": {"listen": f"{self.control[0]}:{self.control[1]}"}}
+        config = self.world.config(place, self.kind, f"{self.at[0]}:{self.at[1]}")
+        (folder / "config.json").write_text(json.dumps(config))
+        tables = {"control": {"listen": f"unix:{self.control}"}}
         if self.kind != "bare":
             tables.update(operator(place, self.world.parts))
         (folder / "operator.toml").write_text(toml(tables))
@@ -83,7 +85,7 @@
         def heard(status: int, body: bytes) -> None:
             if status == 200 and not self.ready_after:
                 self.ready_after = time.monotonic() - self.began
-            if status == 200 and json.loads(body)["servers"] >= self.world.servers * 9 // 10:
+            if status == 200 and body and json.loads(body)["servers"] >= self.world.servers * 9 // 10:
                 self.whole_after = time.monotonic() - self.began
             else:
                 self.world.loop.call_in(0.2, self._ready)
@@ -144,11 +146,10 @@
         places = [Place(name, number, str(self.folder / name), self.listens[name], self.advertised[name],
                         tuple(at for _, at in chosen), str(self.folder / "keys"), chosen)
                   for number, name in enumerate(names)]
-        ports = free_ports(2 * (real + voters + 1))
-        bare = Place("bare", 0, str(self.folder / "bare"), "", "", (), "", ())
+        bare = Place("bare", 0, str(self.folder / "bare"), f"127.{self.first}.0.1:0", "", (), "", ())
         for kind, place in [("real", p) for p in places[:real]] + [("voter", p) for p in places[real:real + voters]] + [
                 ("bare", bare)]:
-            self.daemons.append(Real(self, kind, place, ports.pop(), ports.pop()))
+            self.daemons.append(Real(self, kind, place))
         hosts = max(1, -(-hollow // a_host))
         self.hosts: list[Child] = []
         self.names: dict[str, list[str]] = {}
@@ -177,8 +178,8 @@
         firms = self._firms(self.total - self.hollow, self.hollow)
         sets = {place.name: [asdict(firm) for firm in firms if firm.first <= place.number < firm.first + firm.spread]
                 for place in here}
-        rows = [{"place": asdict(place), "config": self.config(place, "hollow", 0), "firms": sets[place.name]}
-                for place in here]
+        rows = [{"place": asdict(place), "config": self.config(place, "hollow", "127.0.0.1:0"),
+                 "firms": sets[place.name]} for place in here]
         for place in here:
             Path(place.folder).mkdir()
         name = f"host{number}"
@@ -187,9 +188,9 @@
             "seed": self.seed * 1000 + number, "hollows": rows, "parts": self.parts, "servers": self.listed["hollow"],
             "at_once": AT_ONCE, "profile": self.profile if not number else ""}))
 
-    def config(self, place: Place, kind: str, port: int) -> dict[str, Any]:
+    def config(self, place: Place, kind: str, listen: str) -> dict[str, Any]:
         group = kind if kind in GROUPS else "real"
-        return {"name": place.name, "listen": f"127.0.0.1:{port}", "counter": self.adds[group],
+        return {"name": place.name, "listen": listen, "counter": self.adds[group],
                 "discovery": self.alone.listener.text if kind == "bare" else self.lists[group],
                 "seed": f"{self.seed * 10000 + place.number:x}", "settings": settings(self.total, place.number)}
 
@@ -198,7 +199,7 @@
         self.listens: dict[str, str] = {}
         self.advertised: dict[str, str] = {}
         made: list[tuple[socket.socket, socket.socket]] = []
-        first = 1 + self.rng.randrange(100)
+        self.first = first = 1 + self.rng.randrange(100)
         for number, name in enumerate(names):
             host = f"127.{first + 10 + number // 200}.{1 + number % 200}.1"
             self.listens[name] = f"{host}:{free_at(host)}"
--- a/brackenpulley/standins/hollow.py
+++ b/brackenpulley/standins/hollow.py
@@ -229,15 +229,16 @@
 class Hollow:
     """One of them. `dead` is told which member this one takes for dead, `applied` which entry of the log it has."""
 
-    def __init__(self, loop: Loop, place: Place, raw: dict[str, Any], parts: Iterable[str], firms: list[Firm],
-                 log: Any, seed: int) -> None:
-        """`raw`: its configuration, as the file of a real one would hold it. Raises ConfigError."""
+    def __init__(self, loop: Loop, place: Place, raw: dict[str, Any], tables: dict[str, Any],
+                 firms: list[Firm], log: Any, seed: int) -> None:
+        """`raw` and `tables`: its configuration and the operator's, as the files of a real one would hold them.
+        Raises ConfigError."""
         self.place, self.alive = place, True
         self.ended: Callable[[], None] = lambda: None
         self.dead: Callable[[str], None] = lambda ident: None
         self.applied: Callable[[Entry], None] = lambda entry: None
         self.berth = Berth(loop, Metrics(), self._over)
-        self.daemon = Daemon(decode(raw, {}, decode_operator(operator(place, parts))), log, loop.clock, self.berth)
+        self.daemon = Daemon(decode(raw, {}, decode_operator(tables)), log, loop.clock, self.berth)
         self.berth.metrics = self.daemon.metrics
         self.traffic = Traffic(self.daemon, random.Random(seed), firms)
 
