--- a/brackenpulley/standins/hollow.py
+++ b/brackenpulley/standins/hollow.py
@@ -199,6 +199,8 @@
     _serial: int = 0
 
     def start(self) -> None:
+        if self.going:
+            return
         self.going, self._serial = True, self.rng.getrandbits(40) << 20
         for firm in self.firms:
             self._next(firm)
