--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -11,7 +11,7 @@
 
 from benchmarks.membership import Net, fleet, study
 from brackenpulley.members.awareness import WORST, Awareness
-from brackenpulley.members.gossip import TIMES, Gossip
+from brackenpulley.members.gossip import TIMES, Gossip, Queue
 from brackenpulley.members.keys import OVERHEAD, KeyRing, PacketError, Replays, RingError
 from brackenpulley.members.protocol import Protocol, Send, Timing
 from brackenpulley.members.suspicion import Suspicion, shortest
@@ -254,3 +254,32 @@
         net.add(f"m{n}", f"a{n}", ["a0", "a1"], Timing(sync=5.0))
     net.run(net.now + 8.0)
     assert net.agree()
+
+
+def test_a_queue_takes_what_sorting_all_that_waits_would_take() -> None:
+    """The least told first, the newest of these first, whatever fits; against a sort anew with each take."""
+    rng = random.Random(5)
+    queue, waiting, serial = Queue[int, int](), dict[int, tuple[int, int, int, int]](), 0
+    for step in range(4000):
+        key, what = rng.randrange(60), rng.random()
+        if what < 0.4:
+            serial += 1
+            size = rng.randrange(20, 200)
+            queue.add(key, step, size)
+            waiting[key] = 0, -serial, step, size
+        elif what < 0.5:
+            queue.drop(key)
+            waiting.pop(key, None)
+        else:
+            room, wanted, used = rng.randrange(0, 600), [], 0
+            for key, (sent, number, value, size) in sorted(waiting.items(), key=lambda item: item[1][:2]):
+                if size > room - used:
+                    continue
+                used += size
+                wanted.append(value)
+                if sent + 1 >= TIMES * 2:
+                    del waiting[key]
+                else:
+                    waiting[key] = sent + 1, number, value, size
+            assert queue.take(room, 50) == (wanted, used)
+        assert len(queue) == len(waiting)
