Scale run: a link process for each 100 relays; what is not whole is said with how busy the links are

At 400 hollow ingresses one process of links for all of them was the first to be short: voters lost their leader again and again, and the fleet was not whole after 240 s.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -61,6 +61,7 @@
             return call()
         except Ended as error:
             self.wrong.append(f"{what}: {error}")
+            self.say(self.wrong[-1])
             return None
 
     def say(self, text: str) -> None:
@@ -72,7 +73,7 @@
         load = os.getloadavg()[0]
         started = world.start(min(START, 2 * told.patience))
         self.say(f"started: {started}")
-        whole = self.step("the start", lambda: world.until(world.whole, told.patience, f"whole: {world.states()}"))
+        whole = self.step("the start", lambda: world.until(world.whole, told.patience, world.far))
         self.say(f"whole after {whole}")
         reals = world.reals()
         took = [row for state in world.states() for row in state["took"]]
@@ -201,7 +202,7 @@
         cut = world.counts()
         for link in world.links:
             link.ask("cut", region="r2", on=False)
-        back = self.step("a region back", lambda: world.until(world.whole, told.patience, "whole after the cut"))
+        back = self.step("a region back", lambda: world.until(world.whole, told.patience, world.far))
         healed = world.counts()
         found["cut"] = {"seconds": told.cut, "wholeAfterS": back, "during": window(first, cut, kinds, told.hollow),
                         "after": window(cut, healed, kinds, told.hollow)}
@@ -214,7 +215,7 @@
         ready = self.step("a tenth ready", lambda: world.until(
             lambda: not any(row["waits"] for row in world.states()), told.patience, "a tenth is ready"))
         took = [row for state in world.states() for row in state["took"]]
-        again = self.step("a tenth back", lambda: world.until(world.whole, told.patience, "whole after the kill"))
+        again = self.step("a tenth back", lambda: world.until(world.whole, told.patience, world.far))
         last = world.counts()
         found["tenth"] = {"killed": sum(len(names) for names in tenth.values()), "readyS": ready,
                           "wholeAfterS": again, "ready": spread(row[0] for row in took),
--- a/benchmarks/scale/world.py
+++ b/benchmarks/scale/world.py
@@ -38,7 +38,7 @@
 SPREAD, FIRMS = 4, 10  # ingresses of a firm's set; firms that each ingress meets
 # s of delay, mean s on top of it, part lost: within a zone, between zones, between regions. Assumed: nobody told them.
 NEAR, ZONE, REGION = (0.0002, 0.0002, 0.0), (0.0006, 0.0004, 0.0005), (0.015, 0.002, 0.002)
-A_HOST, A_LINK = 150, 450  # hollow ingresses, and relays, of one process
+A_HOST, A_LINK = 150, 100  # hollow ingresses, and relays, of one process
 MEMORY, PROCESSES = 12_000, 200  # MB resident of all, and processes
 AT_ONCE = 2  # hollow ones of a host that wait for their list
 GROUPS = ("hollow", "real", "voter")
@@ -253,12 +253,12 @@
         while (left := until - time.monotonic()) > 0:
             self.loop.turn(min(0.05, left))
 
-    def until(self, done: Callable[[], bool], patience: float, what: str) -> float:
+    def until(self, done: Callable[[], bool], patience: float, what: str | Callable[[], str]) -> float:
         """s that it took. Raises Ended where it does not come."""
         began = time.monotonic()
         while not done():
             if time.monotonic() - began > patience:
-                raise Ended(f"not in {patience:g} s: {what}")
+                raise Ended(f"not in {patience:g} s: {what() if callable(what) else what}")
             self.loop.turn(0.02)
         return time.monotonic() - began
 
@@ -307,6 +307,12 @@
             host.tell("state")
         return [host.answer("state") for host in self.hosts]
 
+    def far(self) -> str:
+        """What is not whole, and how busy the links are."""
+        rows = [{key: row[key] for key in ("there", "waits", "members", "index", "entered")} for row in self.states()]
+        links = [[round(figure, 1) for figure in used(child.process.pid)] for child in self.links]
+        return f"{rows} of {self.total}; s and MB of each link: {links}"
+
     def whole(self, missing: int = 0) -> bool:
         """All hollow ones see all members, and the log of all stands at one index."""
         rows = self.states()
