Configuration by revisions: rules, a part of the agreed log, what is in force here

Nothing carried a changed configuration to all ingresses (SIGHUP by one host's supervisor; a plan book a daemon). configuration/: a change of plans, firms and addresses is checked whole, stands on the revision before (compare and set in the log's machine), keeps what takes it back, is bounded in bytes; a process has in force a copy of its own that follows the log only where it has caught up, and outlives the log's silence. consensus/feed: a follower notes when a voter that knows a leader answered last (nothing goes by it but the age shown).

Five planted faults found (tests/test_configuration).

--- a/brackenpulley/consensus/feed.py
+++ b/brackenpulley/consensus/feed.py
@@ -70,6 +70,7 @@
     leader: str = ""
     asked: str = ""
     heard: float = -inf
+    led: float = -inf  # when a voter last answered that knows a leader: one that is cut off itself answers as well
     _ask_at: float = 0.0
     _order: list[str] = field(default_factory=list)
 
@@ -94,6 +95,8 @@
         self.now = max(self.now, now)
         if source == self.asked:
             self.heard = self.now
+            if word.leader:
+                self.led = self.now
         self.commit, self.leader = max(self.commit, word.commit), word.leader or self.leader
         snapshot = word.snapshot if word.snapshot is not None and word.snapshot.index > self.index else None
         if snapshot is not None:
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,325 @@
+"""One revision for all: the rules of a change, the agreed part, what is in force where, and a fleet in virtual time."""
+
+from __future__ import annotations
+
+import random
+from math import inf
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from benchmarks.configuration import drawn_change, run
+from brackenpulley.configuration import store
+from brackenpulley.configuration.force import BACK, BLIND, InForce
+from brackenpulley.configuration.revisions import HISTORY, Revisions
+from brackenpulley.configuration.rollcall import REMEMBERED, RollCall
+from brackenpulley.configuration.rollcall import pack as pack_row
+from brackenpulley.configuration.rules import Change, ChangeError, Content, Limits, check, encoded
+from brackenpulley.configuration.wire import (
+    FORMAT,
+    Envelope,
+    Row,
+    WireError,
+    _widened,
+    mark_of,
+    pack,
+    pack_change,
+    seal,
+    unpack,
+    unpack_change,
+    unseal,
+)
+from brackenpulley.plans.book import Figures
+
+FIGURES = Figures(10.0, 20.0)
+
+
+def content() -> Content:
+    found = Content()
+    found.apply(Change(0, "ann", {"county": FIGURES, "school": Figures(1.0, 4.0)}, {7: "county", 9: "county"},
+                       {"discovery": "10.0.0.1:80"}))
+    return found
+
+
+@pytest.mark.parametrize(("change", "field", "text"), [
+    (Change(0, "", {"a": FIGURES}), "by", "who"),
+    (Change(0, "a", {"a": FIGURES}, note="x" * 201), "note", "201 characters"),
+    (Change(0, "a"), "plans", "no change"),
+    (Change(0, "a", {"": FIGURES}), "plans", "no plan's name"),
+    (Change(0, "a", {"a\nb": FIGURES}), "plans", "no plan's name"),
+    (Change(0, "a", {"a": Figures(-1.0, 2.0)}), "plans.a.rate", "-1.0"),
+    (Change(0, "a", {"a": Figures(inf, 2.0)}), "plans.a.rate", "inf"),
+    (Change(0, "a", {"a": Figures(5.0, 0.0)}), "plans.a.figures", "burst"),
+    (Change(0, "a", {"a": Figures(5.0, 1.0, ceiling_rate=2.0)}), "plans.a.figures", "ceiling_burst"),
+    (Change(0, "a", {"county": None}), "plans.county", "2 firms are on it"),
+    (Change(0, "a", {"county": None}, {7: "school"}), "plans.county", "1 firms are on it"),
+    (Change(0, "a", {"school": None}, {7: "school"}), "firms.0000000000000007", "no plan 'school'"),
+    (Change(0, "a", {}, {7: "nowhere"}), "firms.0000000000000007", "no plan 'nowhere'"),
+    (Change(0, "a", {}, {1 << 33: "county"}), "firms", "no firm"),
+    (Change(0, "a", {}, {-1: "county"}), "firms", "no firm"),
+    (Change(0, "a", {}, {}, {"billing": "10.0.0.1:80"}), "addresses.billing", "no such entry"),
+    (Change(0, "a", {}, {}, {"counter": "here"}), "addresses.counter", "'here' is no address:port"),
+    (Change(0, "a", {}, {}, {"counter": "10.0.0.1:0"}), "addresses.counter", "no address:port"),
+    (Change(0, "a", {}, {firm: "county" for firm in range(20_000)}), "firms", "make several of it")])
+def test_a_change_that_makes_no_sense_is_one_line_that_names_the_field(change: Change, field: str, text: str) -> None:
+    held = content()
+    before = pack(held)
+    with pytest.raises(ChangeError) as error:
+        check(change, held)
+    assert error.value.field == field and text in error.value.text and "\n" not in str(error.value)
+    assert pack(held) == before
+
+
+def test_limits_hold_for_what_grows_and_never_for_what_shrinks() -> None:
+    held = content()
+    with pytest.raises(ChangeError, match="firms: 6 entries in that revision, 5 at most"):
+        check(Change(0, "a", {}, {8: "county"}), held, Limits(entries=5))
+    with pytest.raises(ChangeError, match=f"plans: .* bytes in that revision, {held.size} at most"):
+        check(Change(0, "a", {"new": FIGURES}), held, Limits(size=held.size))
+    check(Change(0, "a", {}, {7: None}), held, Limits(entries=1, size=1))
+    check(Change(0, "a", {}, {7: "school"}), held, Limits(entries=5, size=held.size))  # as many as before
+    check(Change(0, "a", {"county": None}, {7: "school", 9: None}), held)
+
+
+def test_what_takes_a_change_back_must_fit_as_well() -> None:
+    """Or there would be a revision without a way back."""
+    held = Content()
+    held.apply(Change(0, "a", {"p" * 64: FIGURES}, {firm: "p" * 64 for firm in range(2000)}))
+    change = Change(0, "a", {}, {firm: None for firm in range(2000)})
+    assert len(encoded(change)) < 32_000
+    with pytest.raises(ChangeError, match="firms: what takes it back has"):
+        check(change, held)
+
+
+def test_size_is_no_less_than_what_a_snapshot_takes() -> None:
+    rng = random.Random(1)
+    for many in (0, 1, 10, 5000):
+        held = content()
+        held.firms.update({rng.randrange(1 << 33): "county" for _ in range(many)})
+        held.count()
+        assert len(pack(held)) <= held.size + 100
+        again = unpack(pack(held))
+        assert again == held
+
+
+def proposed(log: Revisions, change: Change, at: float = 5.0) -> Any:
+    return log.apply(at, pack_change(change, log.fleet))
+
+
+def test_revisions_stand_on_each_other_and_who_was_first_has_won() -> None:
+    log = Revisions("f")
+    one, two = Change(0, "ann", {"a": FIGURES}), Change(0, "bob", {"b": FIGURES})
+    assert proposed(log, one) == {"revision": 1, "taken": "now"}
+    assert proposed(log, two) == {"error": "0 is not the revision in force, 1", "field": "base"}
+    assert proposed(log, one) == {"revision": 1, "taken": "before"}
+    assert log.number == 1 and set(log.content.plans) == {"a"}
+    assert proposed(log, Change(1, "bob", {"b": FIGURES}), 7.0) == {"revision": 2, "taken": "now"}
+    assert proposed(log, Change(5, "bob", {"c": FIGURES}))["field"] == "base"  # no gap either
+    assert (log.number, log.at) == (2, 7.0)
+    assert log.counts == {"conflict": 2, "repeated": 1}
+
+
+def test_what_is_torn_too_large_or_not_ours_is_counted_and_the_last_good_one_stands() -> None:
+    log = Revisions("f")
+    proposed(log, Change(0, "ann", {"a": FIGURES}))
+    before = log.dump()
+    change = Change(1, "ann", {"a": Figures(1.0, 1.0)})
+    good = pack_change(change, "f")
+    older = encoded(Envelope(FORMAT - 1, "f", mark_of(b"f", encoded(change)), encoded(change)))
+    for data, cause in ((good[:-1], "torn"), (good[:-9] + bytes((good[-9] ^ 1,)) + good[-8:], "torn"), (b"", "torn"),
+                        (seal(b"\xc1", "f"), "torn"), (good + b"x" * 60_000, "oversized"),
+                        (pack_change(change, "g"), "other_fleet"), (older, "other_format"),
+                        (pack_change(Change(1, "a", {}, {1: "x"}), "f"), "unfit")):
+        counted = log.counts.get(cause, 0)
+        assert "error" in log.apply(9.0, data)
+        assert log.counts[cause] == counted + 1 and log.dump() == before
+    assert proposed(log, change)["revision"] == 2
+
+
+def test_a_way_back_is_a_new_revision_with_the_old_content() -> None:
+    rng = random.Random(4)
+    for _ in range(30):
+        log = Revisions("f")
+        contents = [pack(log.content)]
+        while log.number < 12:
+            change = drawn_change(rng, log.number, log.content, "ann")
+            if "revision" in proposed(log, change):
+                contents.append(pack(log.content))
+        to = rng.randrange(12)
+        change = log.way_back(to, "bob")
+        if not change.entries:
+            assert contents[to] == contents[12]
+            continue
+        assert proposed(log, change)["revision"] == 13
+        assert pack(log.content) == contents[to]
+        assert log.history[-1].note == f"back to revision {to}"
+    with pytest.raises(ChangeError, match="to: no way back to revision 13; 0 to 12 can be gone back to"):
+        log.way_back(13, "bob")
+    with pytest.raises(ChangeError, match="there is none"):
+        Revisions("f").way_back(0, "bob")
+
+
+def test_what_is_remembered_is_bounded() -> None:
+    log = Revisions("f")
+    proposed(log, Change(0, "a", {"p" * 60: FIGURES}))
+    for number in range(1, 40):
+        firms = {(1 << 20) + 800 * number + firm: "p" * 60 for firm in range(450)}
+        assert "revision" in proposed(log, Change(number, "a", {}, dict(firms)))
+    assert log.number == 40
+    assert sum(row.size for row in log.history) <= HISTORY
+    oldest = log.history[0].number - 1
+    assert 0 < oldest < 39
+    with pytest.raises(ChangeError, match=f"to: no way back to revision {oldest - 1}; {oldest} to 39"):
+        log.way_back(oldest - 1, "a")
+
+
+def test_a_snapshot_holds_all_and_a_spoilt_one_changes_nothing() -> None:
+    log, other = Revisions("f"), Revisions("f")
+    proposed(log, Change(0, "ann", {"a": FIGURES}, {1 << 32: "a", 5: "a", (1 << 33) - 1: "a"}))
+    proposed(log, Change(1, "ann", {}, {5: None}))
+    other.load(log.dump())
+    assert other.dump() == log.dump() and other.content == log.content
+    torn = log.dump()[:-3]
+    other.load(torn)
+    assert other.spoilt and other.number == 2 and other.dump() == torn and other.counts == {"torn": 1}
+    assert proposed(other, Change(2, "ann", {"b": FIGURES}))["error"].startswith("the snapshot before it")
+    other.load(log.dump())
+    assert not other.spoilt and proposed(other, Change(2, "ann", {"b": FIGURES}))["revision"] == 3
+    other.load(None)
+    assert other.number == 0 and other.content == Content()
+
+
+def test_firms_that_unpack_to_more_than_was_said_are_refused() -> None:
+    import zlib
+    bomb = zlib.compress(b"\0" * 40_000_000)
+    for count in (3, 1 << 40, -1):
+        with pytest.raises(ValueError):
+            _widened(Row("a", 0, count, bomb))
+    with pytest.raises(WireError) as error:
+        unseal(seal(b"x", "f"), "g")
+    assert error.value.cause == "other_fleet"
+    assert unpack_change(pack_change(Change(3, "a"), "f"), "f") == Change(3, "a")
+
+
+def test_what_holds_here_follows_the_log_and_outlives_its_silence() -> None:
+    log, force = Revisions("f"), InForce(100.0)
+    proposed(log, Change(0, "ann", {"a": FIGURES}, {7: "a"}))
+    assert force.look(101.0, log, False, -inf) is None  # not caught up
+    assert not force.knows(101.0) and force.knows(100.0 + BLIND)
+    assert (force.number, force.source) == (0, "file")
+    taken = force.look(102.0, log, True, 102.0)
+    assert taken is not None and (taken.plans, taken.firms) == (["a"], [7])
+    assert (force.number, force.source, force.since) == (1, "log", 102.0) and force.knows(102.0)
+    proposed(log, Change(1, "ann", {}, {7: None}))
+    assert force.content.firms == {7: "a"}  # nothing shows through before it is looked at
+    assert force.look(103.0, log, True, 103.0) is not None and force.content.firms == {}
+    assert force.look(500.0, log, False, -inf) is None and force.number == 2 and force.silent(500.0) == 397.0
+
+
+def test_a_process_that_starts_anew_never_goes_the_way_by_and_a_log_that_is_behind_is_waited_for() -> None:
+    log, force = Revisions("f"), InForce(100.0)
+    proposed(log, Change(0, "ann", {"a": FIGURES}))
+    behind = log.dump()
+    proposed(log, Change(1, "ann", {"a": Figures(3.0, 3.0)}))
+    force.start(log.number, log.at, log.mark, log.content.copy())
+    assert (force.number, force.source) == (2, "copy")
+    log.load(behind)  # a voter's disk, before the others have said what is committed
+    assert force.look(101.0, log, True, 101.0) is None and force.number == 2
+    proposed(log, Change(1, "ann", {"a": Figures(3.0, 3.0)}))
+    assert force.look(102.0, log, True, 102.0) is None and force.source == "log"
+    log.load(behind)  # and where the fleet's log is another one, it says so for as long
+    assert force.look(110.0, log, True, 110.0) is None
+    assert force.look(109.9 + BACK, log, True, 110.0) is None
+    taken = force.look(110.0 + BACK, log, True, 110.0)
+    assert taken is not None and force.number == 1 and force.content.plans == {"a": FIGURES}
+
+
+def test_the_own_copy_is_read_back_and_a_spoilt_one_is_told_apart(tmp_path: Path) -> None:
+    path = str(tmp_path / "copy")
+    assert store.load(path, "f") is None
+    store.save(path, "f", 3, 5.0, b"12345678", content())
+    found = store.load(path, "f")
+    assert found is not None and (found[0].number, found[0].at) == (3, 5.0) and found[1] == content()
+    with pytest.raises(WireError) as error:
+        store.load(path, "g")
+    assert error.value.cause == "other_fleet"
+    data = Path(path).read_bytes()
+    for spoilt, cause in ((data[:50], "torn"), (b"", "torn"), (data + b"x" * 400_000, "oversized")):
+        Path(path).write_bytes(spoilt)
+        with pytest.raises(WireError) as error:
+            store.load(path, "f")
+        assert error.value.cause == cause
+    with pytest.raises(OSError):
+        store.save(str(tmp_path / "none" / "copy"), "f", 3, 5.0, b"", content())
+
+
+def test_who_has_which_revision_is_counted_and_the_silent_are_named() -> None:
+    roll = RollCall()
+    for name, number in (("n0", 4), ("n1", 4), ("n2", 3)):
+        roll.told(f"{name}@1", pack_row(name, number, b"abcdefgh", 50.0))
+    assert roll.status(60.0) == {"byRevision": {"3": 1, "4": 2}, "silent": 0, "silentNamed": []}
+    roll.gone(70.0, "n2@1", left=False)
+    roll.gone(70.0, "n1@1", left=True)
+    assert roll.status(90.0) == {"byRevision": {"4": 1}, "silent": 1, "silentNamed": [
+        {"name": "n2", "revision": 3, "silentS": 20.0, "revisionAgeS": 40.0}]}
+    roll.told("n2@2", pack_row("n2", 4, b"abcdefgh", 95.0))  # its next life
+    roll.gone(96.0, "n2@1", left=False)  # the old one is forgotten late: it says nothing of the new one
+    assert roll.status(99.0)["byRevision"] == {"4": 2}
+    roll.gone(100.0, "n2@2", left=False)
+    roll.told("n3@1", b"\xc1")
+    assert roll.unread == 1 and roll.status(100.0 + REMEMBERED + 1)["silent"] == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_fleet_with_faults_keeps_one_order_of_revisions(seed: int) -> None:
+    """The long form: python -m benchmarks.configuration --seeds 200."""
+    report = run(seed)
+    assert report["broken"] == "", report["lines"]
+    assert report["revisions"] > 0
+
+
+PLANTS: dict[str, tuple[Any, str]] = {
+    "a change counts on whatever stands": (Revisions, "apply"),
+    "the way back forgets the oldest step": (Revisions, "way_back"),
+    "what is in force is the log's own content": (InForce, "_take"),
+    "differences forget firms": (Revisions, "touched"),
+    "a snapshot keeps the old content": (Revisions, "load"),
+}
+
+
+@pytest.mark.parametrize("name", list(PLANTS))
+def test_a_planted_fault_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    owner, member = PLANTS[name]
+    before = getattr(owner, member)
+
+    def apply(self: Revisions, at: float, body: bytes) -> Any:
+        try:
+            change = unpack_change(body, self.fleet)
+        except WireError:
+            return before(self, at, body)
+        return before(self, at, pack_change(Change(self.number, change.by, change.plans, change.firms,
+                                                   change.addresses, change.note), self.fleet))
+
+    def way_back(self: Revisions, number: int, by: str) -> Change:
+        if number + 2 > self.number:
+            return before(self, number, by)  # type: ignore[no-any-return]
+        return before(self, number + 1, by)  # type: ignore[no-any-return]
+
+    def take(self: InForce, now: float, log: Revisions) -> Any:
+        taken = before(self, now, log)
+        self.content = log.content
+        return taken
+
+    def touched(self: Revisions, mark: bytes) -> Change | None:
+        found = before(self, mark)
+        return None if found is None else Change(found.base, "", found.plans, {}, found.addresses)
+
+    def load(self: Revisions, dumped: Any) -> None:
+        held = self.content
+        before(self, dumped)
+        if dumped:
+            self.content = held
+    planted = {"apply": apply, "way_back": way_back, "_take": take, "touched": touched, "load": load}
+    monkeypatch.setattr(owner, member, planted[member])
+    assert any(run(seed)["broken"] for seed in range(12))
