The agreed configuration in a daemon: a row of extras, control calls, [configuration], own copy

What is in force goes to the ingress in one turn; a message is named its plan and revision in the step in which the module hears of it, and its use is charged to that. A change is checked whole, against the settings of the process too, before it is proposed, and answered once it holds here; revert proposes the computed change. A follower without a copy serves the file's, number 0, until the log's first word. Addresses of a revision go before those of a reloaded file. Off by default; needs [consensus]; [configuration] with [plans] is one line.

--- a/brackenpulley/configuration/revisions.py
+++ b/brackenpulley/configuration/revisions.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -49,8 +50,8 @@
 class Revisions:
     """`number` 0 is the file's own."""
 
-    def __init__(self, fleet: str) -> None:
-        self.fleet = fleet
+    def __init__(self, fleet: str, counted: Callable[[str], None] = lambda cause: None) -> None:
+        self.fleet, self.counted = fleet, counted
         self.counts: dict[str, int] = {}  # by cause: what was refused here
         self._empty()
 
@@ -100,6 +101,7 @@
 
     def _count(self, cause: str) -> None:
         self.counts[cause] = self.counts.get(cause, 0) + 1
+        self.counted(cause)
 
     # What it is asked.
 
--- a/brackenpulley/configuration/store.py
+++ b/brackenpulley/configuration/store.py
@@ -30,10 +30,7 @@
     data = seal(msgspec.msgpack.encode(Kept(number, at, mark, pack(content))), fleet)
     beside = Path(path + ".new")
     try:
-        with open(beside, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        beside.write_bytes(data)  # not synced: one that a loss of power tears is known by its mark
         os.replace(beside, path)
     except OSError:
         with contextlib.suppress(OSError):
--- a/brackenpulley/control/api.py
+++ b/brackenpulley/control/api.py
@@ -475,6 +475,69 @@
     routes.add("GET", "/v1/limits/waves", lambda request: service.waves())
 
 
+class ConfigurationCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """On revision `base`. null takes an entry out: the file's holds again."""
+
+    base: Annotated[int, msgspec.Meta(ge=0)]
+    by: str
+    plans: dict[str, Any] = {}
+    firms: dict[str, str | None] = {}
+    addresses: dict[str, str | None] = {}
+    note: str = ""
+
+
+class RevertCall(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    to: Annotated[int, msgspec.Meta(ge=0)]
+    by: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+
+
+def configuration_routes(routes: Routes, service: Any) -> None:
+    """`service` is a configuration.service.ConfigurationService. A change is answered once it holds here."""
+    from ..configuration.rules import Change, ChangeError
+    from ..plans.book import BookError, Figures, firm_of
+
+    def figures(name: str, told: Any) -> Figures | None:
+        try:
+            return msgspec.convert(told, Figures | None)
+        except msgspec.ValidationError as error:
+            field, text = fault_of(error)
+            raise ApiError(400, f"plans.{name[:64]}" + ("" if field == "body" else f".{field}"), text) from None
+
+    def agreed(call: Callable[[Callable[[Any], None]], None]) -> Later:
+        try:
+            return once_agreed(call)
+        except ChangeError as error:
+            raise ApiError(409 if error.field == "base" else 400, error.field, error.text) from None
+
+    def change(request: Request) -> Any:
+        told = decode(request.body, ConfigurationCall)
+        try:
+            firms = {firm_of(firm, f"firms.{firm[:20]}"): plan for firm, plan in told.firms.items()}
+        except BookError as error:
+            raise ApiError(error.status, error.field, error.text) from None
+        if len(firms) < len(told.firms):
+            raise ApiError(400, "firms", "a firm twice")
+        one = Change(told.base, told.by, {name: figures(name, row) for name, row in told.plans.items()}, firms,
+                     told.addresses, told.note)
+        return agreed(lambda done: service.propose(one, done, PATIENCE))
+
+    def revert(request: Request) -> Any:
+        told = decode(request.body, RevertCall)
+        return agreed(lambda done: service.revert(told.to, told.by, done, PATIENCE))
+
+    def firm(request: Request) -> Any:
+        try:
+            return service.firm(request.parts[0])
+        except BookError as error:
+            raise ApiError(error.status, error.field, error.text) from None
+
+    routes.add("GET", "/v1/configuration", lambda request: service.shown())
+    routes.add("GET", "/v1/configuration/history", lambda request: {"revisions": service.history()})
+    routes.add("GET", "/v1/configuration/firms/{}", firm)
+    routes.add("POST", "/v1/configuration", change)
+    routes.add("POST", "/v1/configuration/revert", revert)
+
+
 def common_routes(routes: Routes, daemon: Any) -> None:
     began = time.monotonic()
 
@@ -482,7 +545,7 @@
         parts = {"plans": daemon.plans, "reservations": daemon.reservations, "leases": daemon.leases,
                  "ledger": daemon.ledger, "health": daemon.health, "gateways": daemon.gateways,
                  "members": daemon.members, "agreement": daemon.agreement, "maintenance": daemon.maintenance,
-                 "drains": daemon.drains}
+                 "drains": daemon.drains, "configuration": daemon.configuration}
         return {"name": daemon.config.name, "upSeconds": round(time.monotonic() - began, 3),
                 "ready": daemon.drain.ready(daemon.ready()), "ending": daemon.ending,
                 "held": len(daemon.ingress.held), "clients": len(daemon.north.clients),
--- a/brackenpulley/extras.py
+++ b/brackenpulley/extras.py
@@ -119,6 +119,12 @@
         d.drains = DrainsService(d, told, d.agreement)
 
 
+def configuration(d: Daemon) -> None:
+    if (told := d.config.operator.configuration) is not None:
+        from .configuration.service import ConfigurationService
+        d.configuration = d.ingress.plans = ConfigurationService(d, told, d.agreement)
+
+
 def control(d: Daemon) -> None:
     if d.config.operator.control is None:
         return
@@ -129,7 +135,7 @@
                                    (d.reservations, api.reservation_routes), (d.ledger, api.ledger_routes),
                                    (d.gateways, api.gateway_routes), (d.members, api.member_routes),
                                    (d.agreement, api.agreement_routes), (d.maintenance, api.work_routes),
-                                   (d.drains, api.limit_routes)]
+                                   (d.drains, api.limit_routes), (d.configuration, api.configuration_routes)]
     for part, add in rows:
         if part is not None:
             add(routes, part)
@@ -137,4 +143,4 @@
 
 
 EXTRAS = (authz_server, authz_client, xds_file, plans, reservations, leases, ledger, seconds, health, gateways, members,
-          agreement, maintenance, drains, control)
+          agreement, maintenance, drains, configuration, control)
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -112,6 +112,14 @@
     spread: int  # the least number of ingresses of a firm's set
 
 
+@dataclass(slots=True, frozen=True)
+class ConfigurationPart:
+    path: str  # a copy of the revision in force on the own disk; "" = none is kept
+    entries: int  # of one revision
+    size: int  # bytes of a snapshot of one, at most
+    change: int  # bytes of one change
+
+
 @dataclass(slots=True, frozen=True)
 class BodiesPart:
     longest: int = 32 << 20  # bytes of a client's body
@@ -133,6 +141,7 @@
     consensus: ConsensusPart | None = None
     maintenance: MaintenancePart | None = None
     drains: DrainsPart | None = None
+    configuration: ConfigurationPart | None = None
     seconds: bool = False  # one line of the log a second: what was counted in it
     bodies: BodiesPart = BodiesPart()
 
@@ -309,6 +318,22 @@
                       _whole(part, name, "at_once", 1, 1, 1000), _whole(part, name, "spread", 2, 1, 1000))
 
 
+def _configuration(raw: Any, consensus: ConsensusPart | None, plans: PlansPart | None) -> ConfigurationPart | None:
+    name = "configuration"
+    if (part := _table(raw, name, {"path", "most_entries", "most_kb", "change_kb"})) is None:
+        return None
+    if consensus is None:
+        raise ConfigError(f"{name}: needs [consensus]: revisions are agreed there")
+    if plans is not None:
+        raise ConfigError(f"{name}: not with [plans]: which plan a firm is on would have two books")
+    # 180 KB are what an ingress can be told within 14 s at 14 KB a second, beside all else.
+    size, change = _whole(part, name, "most_kb", 180, 1, 180), _whole(part, name, "change_kb", 32, 1, 32)
+    if change > size:
+        raise ConfigError(f"{name}.change_kb: {change} is over {name}.most_kb, {size}")
+    return ConfigurationPart(_text(part, name, "path") if "path" in part else "",
+                             _whole(part, name, "most_entries", 50_000, 1, 100_000), size * 1000, change * 1000)
+
+
 def _bodies(raw: Any) -> BodiesPart:
     name = "bodies"
     part = _table(raw, name, {"longest_mb", "spool", "spool_mb"}) or {}
@@ -322,7 +347,7 @@
 def decode(raw: dict[str, Any]) -> Operator:
     top = _table(raw, "operator", {"authz", "xds", "control", "plans", "reservations", "leases", "ledger",
                                    "members", "log", "bodies", "consensus", "maintenance",
-                                   "drains"}) or {}
+                                   "drains", "configuration"}) or {}
     authz = _table(top.get("authz"), "authz", {"server", "client"}) or {}
     server = client = xds = None
     name = "authz.server"
@@ -353,8 +378,8 @@
     consensus = _consensus(top.get("consensus"), members)
     return Operator(server, client, xds, control, plans, _reservations(top.get("reservations")),
                     _leases(top.get("leases")), _ledger(top.get("ledger")), members, consensus,
-                    _maintenance(top.get("maintenance"), consensus), _drains(top.get("drains"), consensus), seconds,
-                    _bodies(top.get("bodies")))
+                    _maintenance(top.get("maintenance"), consensus), _drains(top.get("drains"), consensus),
+                    _configuration(top.get("configuration"), consensus, plans), seconds, _bodies(top.get("bodies")))
 
 
 def decode_text(text: str, name: str) -> Operator:
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -106,6 +106,7 @@
         self.agreement: Any = None
         self.maintenance: Any = None
         self.drains: Any = None
+        self.configuration: Any = None
         self.tally: Any = None
         self._extras()
 
@@ -126,8 +127,9 @@
 
     def ready(self) -> bool:
         told = self.discovery is None or self.discovery.heard or self.clock() - self.born > KNOWN_ENOUGH
-        # What is away for work, and where it may open a connection.
-        told = told and all(part is None or part.knows() for part in (self.maintenance, self.drains))
+        # What is away for work, where it may open a connection, and which revision holds.
+        told = told and all(part is None or part.knows() for part in (
+            self.maintenance, self.drains, self.configuration))
         return told and self.ingress.listed and len(self.inventory) > 0
 
     def start(self, signals: bool = True) -> None:
@@ -160,7 +162,8 @@
             self.log.info("console", address=f"{where[0]}:{where[1]}")
         self.log.info("listening", name=self.config.name, address=f"{at[0]}:{at[1]}")
         # From here on others may know of it.
-        for part in (self.gateways, self.members, self.agreement, self.maintenance, self.drains, self.health):
+        for part in (self.gateways, self.members, self.agreement, self.maintenance, self.drains, self.configuration,
+                     self.health):
             if part is not None:
                 part.start()
 
@@ -215,11 +218,14 @@
                 self.health.reloaded(str(error))
             return
         self.metrics.add("reloads")
-        if new.discovery is not None and isinstance(self.discovery, Discovery):
-            self.discovery.move(new.discovery)
-        if new.counter is not None and self.counter is not None:
-            self.counter.move(new.counter)
-        self.log.info("reloaded", discovery=new.discovery, counter=new.counter)
+        discovery, counter = new.discovery, new.counter
+        if self.configuration is not None:  # what all have agreed goes before one host's file
+            discovery, counter = self.configuration.addresses(discovery, counter)
+        if discovery is not None and isinstance(self.discovery, Discovery):
+            self.discovery.move(discovery)
+        if counter is not None and self.counter is not None:
+            self.counter.move(counter)
+        self.log.info("reloaded", discovery=discovery, counter=counter)
         if self.health is not None:
             self.health.reloaded("ok")
 
@@ -294,7 +300,7 @@
             self.control.stop()
         if self.ledger is not None:
             self.ledger.stop()
-        for part in (self.drains, self.maintenance, self.agreement, self.members, self.health):
+        for part in (self.configuration, self.drains, self.maintenance, self.agreement, self.members, self.health):
             if part is not None:
                 part.stop()
         self.loop.close()
