--- a/brackenpulley/configuration/rollcall.py
+++ b/brackenpulley/configuration/rollcall.py
@@ -21,6 +21,8 @@
     number: int
     mark: bytes  # the first four bytes of it
     since: float  # Unix time
+    born: float = 0.0  # Unix time: an older life's word comes late and counts for nothing
+    times: int = 0  # that it has come back: a record is told again only where it is another one
 
 
 _has = msgspec.msgpack.Decoder(Has).decode
@@ -34,8 +36,9 @@
     silent: float = 0.0  # since when; 0 = it is there
 
 
-def pack(name: str, number: int, mark: bytes, since: float) -> bytes:
-    return _encode(Has(name, number, mark[:4], round(since, 3)))
+def pack(name: str, number: int, mark: bytes, since: float, born: float = 0.0,
+         times: int = 0) -> bytes:
+    return _encode(Has(name, number, mark[:4], round(since, 3), round(born, 3), times))
 
 
 class RollCall:
@@ -49,7 +52,8 @@
         except msgspec.MsgspecError:
             self.unread += 1
             return
-        if has.name in self.rows or len(self.rows) < MOST:
+        old = self.rows.get(has.name)
+        if old is None and len(self.rows) < MOST or old is not None and old.has.born <= has.born:
             self.rows[has.name] = Row(owner, has)
 
     def gone(self, now: float, owner: str, left: bool) -> None:
--- a/brackenpulley/configuration/service.py
+++ b/brackenpulley/configuration/service.py
@@ -28,6 +28,7 @@
 from .wire import WireError, pack_change
 
 LOOK, SAVE = 0.2, 5.0  # s between looks; from a change to the own copy of it, which may hold the loop
+CUT = 3.0  # s of the log's silence after which others may have forgotten what this process told of itself
 ROW = 100.0  # bytes of one process's record as it is gossiped
 
 
@@ -60,7 +61,7 @@
         self._addresses: dict[str, Address | None] = {"discovery": daemon.config.discovery,
                                                       "counter": daemon.config.counter}
         self._gone: set[str] = set()  # plans that neither the file nor the revision in force has
-        self._told_at, self._told = -1e9, b""
+        self._told_at, self._told, self._times = -1e9, b"", 0
         self._saving: Timer | None = None
         self._going = False
         agreement.parts[PART] = lambda: Revisions(self.fleet, self._refused)
@@ -118,7 +119,10 @@
         if agreement is None or not self._going:
             return
         now = self.loop.clock()
+        silent = self.force.silent(now)
         taken = self.force.look(now, self.revisions, *log_here(agreement, now))
+        if silent > CUT and self.force.silent(now) < CUT:
+            self._times += 1  # what it said while it counted as dead was not heard
         if taken is None:
             return
         self._put(taken)
@@ -181,7 +185,8 @@
         records, protocol, now = self._records(), self.daemon.members.service.protocol, self.loop.clock()
         if records is None or protocol is None or now < self._told_at + ROW * protocol.size / RATE:
             return
-        value = pack_row(self.daemon.config.name, self.force.number, self.force.mark, self.force.since)
+        value = pack_row(self.daemon.config.name, self.force.number, self.force.mark, self.force.since,
+                         self.force.born, self._times)
         if value != self._told:
             self._told_at, self._told = now, value
             records.publish(KIND, "", value)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -263,7 +263,8 @@
     roll.gone(70.0, "n1@1", left=True)
     assert roll.status(90.0) == {"byRevision": {"4": 1}, "silent": 1, "silentNamed": [
         {"name": "n2", "revision": 3, "silentS": 20.0, "revisionAgeS": 40.0}]}
-    roll.told("n2@2", pack_row("n2", 4, b"abcdefgh", 95.0))  # its next life
+    roll.told("n2@2", pack_row("n2", 4, b"abcdefgh", 95.0, 94.0))  # its next life
+    roll.told("n2@1", pack_row("n2", 3, b"abcdefgh", 50.0, 49.0))  # the old one's word, from who was cut off
     roll.gone(96.0, "n2@1", left=False)  # the old one is forgotten late: it says nothing of the new one
     assert roll.status(99.0)["byRevision"] == {"4": 2}
     roll.gone(100.0, "n2@2", left=False)
