--- a/brackenpulley/configuration/force.py
+++ b/brackenpulley/configuration/force.py
@@ -105,7 +105,8 @@
 
 def _differences(old: Content, new: Content) -> Taken:
     names = [name for name in {**old.plans, **new.plans} if old.plans.get(name) != new.plans.get(name)]
-    firms = [firm for firm in old.firms.keys() | new.firms.keys() if old.firms.get(firm) != new.firms.get(firm)]
+    firms = list(new.firms) if not old.firms else [firm for firm in old.firms.keys() | new.firms.keys()
+                                                   if old.firms.get(firm) != new.firms.get(firm)]
     addresses = [name for name in {**old.addresses, **new.addresses}
                  if old.addresses.get(name) != new.addresses.get(name)]
     return Taken(names, firms, addresses)
--- a/brackenpulley/configuration/revisions.py
+++ b/brackenpulley/configuration/revisions.py
@@ -22,7 +22,7 @@
 from .wire import WireError, mark_of, pack, unpack, unpack_change
 
 PART = "configuration"  # of the machine
-HISTORY, ROWS = 2 * MOST_CHANGE, 200  # bytes and revisions that can be gone back over
+HISTORY, ROWS = MOST_CHANGE, 200  # bytes and revisions that can be gone back over
 
 
 class Revision(msgspec.Struct, frozen=True, array_like=True):
--- a/brackenpulley/configuration/rules.py
+++ b/brackenpulley/configuration/rules.py
@@ -23,9 +23,10 @@
 
 ADDRESSES = ("counter", "discovery")
 NAME, NOTE = 64, 200  # characters
-FIRM_BYTES = 4  # of a snapshot, at most: see wire.pack
-# Hard bounds, the same everywhere: the settings may hold less. 14 s at 14 KB/s are 196 KB, less what else is said.
-MOST_ENTRIES, MOST_BYTES, MOST_CHANGE = 100_000, 180_000, 32_000
+FIRM_BYTES, ROW_BYTES = 4, 30  # of a snapshot, at most: a firm, and each of a plan's two rows of them (wire.pack)
+# Hard bounds, the same everywhere: the settings may hold less. A process that starts anew hears all of it and of what
+# takes the last changes back (`revisions.HISTORY`): 196 KB are 14 s at 14 KB a second.
+MOST_ENTRIES, MOST_BYTES, MOST_CHANGE = 100_000, 180_000, 16_000
 
 
 class ChangeError(ValueError):
@@ -80,7 +81,8 @@
     @property
     def size(self) -> int:
         """Bytes of a snapshot of it, at most."""
-        return len(self.firms) * FIRM_BYTES + _named(self.plans) + _named(self.addresses)
+        return (len(self.firms) * FIRM_BYTES + _named(self.plans) + _named(self.addresses)
+                + sum(2 * (len(name.encode()) + ROW_BYTES) for name in self.plans))
 
     def apply(self, change: Change) -> None:
         """`check` has passed it."""
@@ -183,19 +185,21 @@
             raise ChangeError(f"plans.{name}", f"{left} firms are on it")
 
 
-def _grown(table: dict[Any, Any], new: dict[Any, Any], each: int = 0) -> tuple[int, int]:
-    """Entries and bytes that a table grows by; `each` where every entry has as many."""
+def _grown(table: dict[Any, Any], new: dict[Any, Any], each: int = 0, row: int = 0) -> tuple[int, int]:
+    """Entries and bytes that a table grows by; `each` where every entry has as many, `row`: rows that go with one."""
     entries = size = 0
     for key, value in new.items():
         for sign, one in ((1, value), (-1, table.get(key))):
             if one is not None:
-                entries, size = entries + sign, size + sign * (each or _named({key: one}))
+                entries, size = entries + sign, size + sign * (each or _named({key: one}) + row * (
+                    len(key.encode()) + ROW_BYTES))
     return entries, size
 
 
 def _check_room(change: Change, content: Content, limits: Limits) -> None:
     entries, size = content.entries, content.size
-    for more, bytes_more in (_grown(content.plans, change.plans), _grown(content.firms, change.firms, FIRM_BYTES),
+    for more, bytes_more in (_grown(content.plans, change.plans, row=2),
+                             _grown(content.firms, change.firms, FIRM_BYTES),
                              _grown(content.addresses, change.addresses)):
         entries, size = entries + more, size + bytes_more
     what = "firms" if change.firms else "plans" if change.plans else "addresses"
--- a/brackenpulley/configuration/service.py
+++ b/brackenpulley/configuration/service.py
@@ -27,7 +27,8 @@
 from .rules import Change, ChangeError, Limits, check
 from .wire import WireError, pack_change
 
-LOOK, SAVE = 0.2, 5.0  # s between looks; from a change to the own copy of it, which may hold the loop
+LOOK = 0.2  # s between looks
+SAVE, SAVE_EACH = 5.0, 0.001  # s from a change to the own copy of it, and more an entry: it holds the loop
 CUT = 3.0  # s of the log's silence after which others may have forgotten what this process told of itself
 ROW = 100.0  # bytes of one process's record as it is gossiped
 
@@ -130,7 +131,7 @@
         self.log.info("configuration", revision=self.force.number, plans=len(taken.plans), firms=len(taken.firms),
                       agreed_s=round(now - self.force.at, 3))
         if self.told.path and self._saving is None:
-            self._saving = self.loop.call_in(SAVE, self._save)
+            self._saving = self.loop.call_in(SAVE + SAVE_EACH * self.force.content.entries, self._save)
 
     def _put(self, taken: Taken) -> None:
         """All of one revision in one go: the ingress takes no message meanwhile."""
--- a/brackenpulley/configuration/wire.py
+++ b/brackenpulley/configuration/wire.py
@@ -9,8 +9,11 @@
 import hashlib
 import zlib
 from array import array
+from bisect import bisect_left
+from collections import defaultdict
 from collections.abc import Iterable
-from itertools import accumulate, pairwise
+from itertools import accumulate
+from operator import sub
 
 import msgspec
 
@@ -97,10 +100,15 @@
 
 def pack(content: Content) -> bytes:
     """The same bytes for the same entries, in whatever order they came."""
-    groups: dict[tuple[str, int], list[int]] = {}
+    groups: defaultdict[str, list[int]] = defaultdict(list)
     for firm, plan in content.firms.items():
-        groups.setdefault((plan, firm & HALF), []).append(firm)
-    rows = [Row(plan, base, len(firms), _squeezed(firms, base)) for (plan, base), firms in sorted(groups.items())]
+        groups[plan].append(firm)
+    rows = []
+    for plan in sorted(groups):
+        firms = sorted(groups[plan])
+        split = bisect_left(firms, HALF)
+        rows += [Row(plan, base, len(part), _squeezed(part, base))
+                 for base, part in ((0, firms[:split]), (HALF, firms[split:])) if part]
     return _encode(Packed(dict(sorted(content.plans.items())), dict(sorted(content.addresses.items())), rows))
 
 
@@ -119,9 +127,8 @@
 
 
 def _squeezed(firms: list[int], base: int) -> bytes:
-    firms.sort()
-    steps = array("I", (after - before for before, after in pairwise([base, *firms])))
-    return zlib.compress(steps.tobytes(), 6)
+    """Ascending ones."""
+    return zlib.compress(array("I", map(sub, firms, [base, *firms[:-1]])).tobytes(), 1)
 
 
 def _widened(row: Row) -> Iterable[int]:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -87,18 +87,19 @@
     held = Content()
     held.apply(Change(0, "a", {"p" * 64: FIGURES}, {firm: "p" * 64 for firm in range(2000)}))
     change = Change(0, "a", {}, {firm: None for firm in range(2000)})
-    assert len(encoded(change)) < 32_000
+    assert len(encoded(change)) < 16_000
     with pytest.raises(ChangeError, match="firms: what takes it back has"):
         check(change, held)
 
 
 def test_size_is_no_less_than_what_a_snapshot_takes() -> None:
     rng = random.Random(1)
-    for many in (0, 1, 10, 5000):
+    for many, plans in ((0, 1), (1, 1), (10, 1), (5000, 1), (1000, 40), (40, 40)):
         held = content()
-        held.firms.update({rng.randrange(1 << 33): "county" for _ in range(many)})
+        held.plans.update({f"plan-{n}": FIGURES for n in range(plans)})
+        held.firms.update({rng.randrange(1 << 33): f"plan-{n % plans}" for n in range(many)})
         held.count()
-        assert len(pack(held)) <= held.size + 100
+        assert len(pack(held)) <= held.size + 20
         again = unpack(pack(held))
         assert again == held
 
@@ -162,9 +163,9 @@
 
 def test_what_is_remembered_is_bounded() -> None:
     log = Revisions("f")
-    proposed(log, Change(0, "a", {"p" * 60: FIGURES}))
+    proposed(log, Change(0, "a", {"p" * 20: FIGURES}))
     for number in range(1, 40):
-        firms = {(1 << 20) + 800 * number + firm: "p" * 60 for firm in range(450)}
+        firms = {(1 << 20) + 800 * number + firm: "p" * 20 for firm in range(450)}
         assert "revision" in proposed(log, Change(number, "a", {}, dict(firms)))
     assert log.number == 40
     assert sum(row.size for row in log.history) <= HISTORY
