What a voter calls committed holds on a side without a leader too; back goes only a log that is led

A follower that started anew in a region that was cut off held the file's, number 0, beside neighbours with 3 (--only sizes, 'cutOffHave': [0, 3] before, [3] after). How old it is goes by the last word of a leader.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -7,6 +7,7 @@
     python -m benchmarks.configuration --only tenants       44,000 firms: memory, bytes, how long a turn is held
     python -m benchmarks.configuration --only compaction    what followers are sent when the log becomes a snapshot
     python -m benchmarks.configuration --only processes     three voters and two followers with relays between them
+    python -m benchmarks.configuration --only cost          CPU of a real process, without, with, and with changes
 
 The code is the one that serves (configuration/, consensus/); net, disks and clocks are those of simulation/. Exits 1
 where an invariant is broken, or a change is not in force at 99 in 100 within 5 s and at all that can be reached within
@@ -27,7 +28,7 @@
 from typing import Any
 
 from benchmarks.work_order import Fleet as WorkFleet
-from brackenpulley.configuration.force import InForce, log_here
+from brackenpulley.configuration.force import Here, InForce, log_here
 from brackenpulley.configuration.revisions import PART, Revisions
 from brackenpulley.configuration.rules import Change, ChangeError, Content, check, encoded
 from brackenpulley.configuration.wire import WireError, pack, pack_change, seal, unpack, unseal
@@ -171,7 +172,7 @@
     def _look(self, host: Host, part: Agreement) -> None:
         now, force = host.clock(self.world.now), self.force[host.name]
         before = force.number
-        if force.look(now, self.logs[host.name], *log_here(part, now)) is None:
+        if force.look(now, self.logs[host.name], log_here(part, now)) is None:
             return
         if force.number < before:
             self._count("went_back")
@@ -561,7 +562,7 @@
 
         def look() -> None:
             now = self.world.now
-            if force.look(now, log, *log_here(part, now)) is not None:
+            if force.look(now, log, log_here(part, now)) is not None:
                 self.reached.setdefault(force.number, {}).setdefault(host.name, now)
 
         def told() -> None:
@@ -702,7 +703,7 @@
         loads += 1
     del numbers[firms:]
     force = InForce(0.0)
-    force.look(1.0, log, True, 1.0)
+    force.look(1.0, log, Here(True, 1.0, True))
     gc.collect()
     held = tracemalloc.get_traced_memory()[0] - begin
     tracemalloc.stop()
@@ -712,7 +713,7 @@
     other = Revisions(FLEET)
     dump = log.dump()
     restore = took(lambda: other.load(dump))
-    first_force = took(lambda: InForce(0.0).look(1.0, log, True, 1.0))
+    first_force = took(lambda: InForce(0.0).look(1.0, log, Here(True, 1.0, True)))
     apply, look = [], []
     for number in range(40):
         change = Change(log.number, "t", {"plan-1": Figures(2.0 + number, 9.0)}, {
@@ -721,7 +722,7 @@
         start = time.perf_counter()
         log.apply(2.0, data)
         middle = time.perf_counter()
-        force.look(2.0, log, True, 2.0)
+        force.look(2.0, log, Here(True, 2.0, True))
         apply.append(middle - start)
         look.append(time.perf_counter() - middle)
     assert len(told) < STREAM, "longer than a stream's word"
@@ -773,9 +774,41 @@
         agreement.COMPACT = compact
 
 
+def cost(seconds: float, changes: int = 40) -> dict[str, Any]:
+    """CPU and memory of a real process without load: with the log and the work on, with the configuration too, and
+    with that and changes."""
+    found: dict[str, Any] = {}
+    for name, more in (("agreed", ""), ("configuration", "[configuration]\n")):
+        fleet = WorkFleet(5, 1, 3, more=more)
+        try:
+            for one in fleet.processes:
+                one.start()
+            fleet.watch()
+            fleet.until(fleet.entered, 40.0)
+            fleet.going = False  # nobody asks any more
+            fleet.turn(3.0)
+            rows = [("", 0)] if not more else [("", 0), ("Changes", changes)]
+            for what, count in rows:
+                before = [one.used() for one in fleet.processes]
+                answers: list[int] = []
+                for number in range(count):
+                    fleet.loop.call_in(seconds * number / count, lambda number=number: fleet.processes[  # type: ignore
+                        3].call("POST", "/v1/configuration", {"base": number, "by": "t", "plans": {
+                            "new": {"rate": number + 1.0, "burst": 9.0}}}, lambda status, body: answers.append(status)))
+                fleet.turn(seconds)
+                after = [one.used() for one in fleet.processes]
+                cpu = [(b[0] - a[0]) / seconds * 100 for a, b in zip(before, after, strict=True)]
+                found[name + what] = {"voters": round(sum(cpu[:3]) / 3, 2), "followers": round(sum(cpu[3:]) / 2, 2),
+                                      "residentMb": round(sum(b[1] for b in after) / 5 / 1024, 1),
+                                      "taken": answers.count(200)}
+        finally:
+            fleet.close()
+    return found
+
+
 def main() -> int:
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    words.add_argument("--only", choices=("seeds", "sizes", "tenants", "compaction", "processes"), default="")
+    words.add_argument("--only", choices=("seeds", "sizes", "tenants", "compaction", "processes", "cost"), default="")
     words.add_argument("--seeds", type=int, default=200)
     words.add_argument("--seed", type=int, default=-1)
     words.add_argument("--sizes", default="50,100,200,400")
@@ -793,7 +826,7 @@
         "tenants": lambda: [tenants(firms) for firms in (told.firms // 44, told.firms // 8, told.firms // 4,
                                                          told.firms)],
         "compaction": lambda: [compaction(size, 10_000) for size in (30, 60, 120, 240)],
-        "processes": lambda: [processes()]}
+        "processes": lambda: [processes()], "cost": lambda: [cost(30.0)]}
     wrong = False
     for name, play in parts.items():
         if told.only in ("", name):
--- a/brackenpulley/configuration/force.py
+++ b/brackenpulley/configuration/force.py
@@ -4,9 +4,9 @@
     ------------------------------------------+---------------------------------------------------------------
     nothing heard yet                         | the copy on the own disk, else the file's: number 0
     not caught up with what is committed      | what was; a process that starts anew passes none of the way by
-    caught up, a later revision               | that one, at once
-    caught up, an earlier or another one      | what was, for `BACK` s: a voter's disk may be behind what it knew;
-                                              | then the log's: the fleet has another log
+    caught up, a later revision               | that one, at once, led or not: what is committed is committed
+    caught up, an earlier or another one      | what was, for `BACK` s of a log that is led: a voter's disk may be
+                                              | behind what it knew; then the log's: the fleet has another log
     silent, for however long                  | what was; it says how long the log has been silent
 
 What is in force is a copy of its own: what the log's machine is about to hold never shows through."""
@@ -21,18 +21,28 @@
 from .rules import Change, Content
 
 BACK = 10.0  # s
+LED = 3.0  # s that a follower's word of a leader is good for: some questions to a voter
 BLIND = 8.0  # s after which a process serves with what it has though nothing was heard, as maintenance/clerk
 
 
-def log_here(agreement: Agreement, now: float) -> tuple[bool, float]:
-    """Whether all is applied that this process knows to be committed, and when it last heard of a log that is led."""
+@dataclass(slots=True, frozen=True)
+class Here:
+    """The log as this process has it."""
+
+    caught_up: bool  # all is applied that it knows to be committed, by the word of any voter
+    heard: float = -inf  # when it last heard of a leader
+    led: bool = False  # that is now
+
+
+def log_here(agreement: Agreement, now: float) -> Here:
     node, follower = agreement.node, agreement.follower
     if node is not None:
         led = not node.halted and node.leader != ""
-        return led and agreement.machine.index >= node.commit, now if led else -inf
+        return Here(not node.halted and agreement.machine.index >= node.commit, now if led else -inf, led)
     if follower is None:
-        return False, -inf
-    return follower.led > -inf and agreement.machine.index >= follower.commit, follower.led
+        return Here(False)
+    return Here(follower.heard > -inf and agreement.machine.index >= follower.commit, follower.led,
+                now - follower.led < LED)
 
 
 @dataclass(slots=True)
@@ -52,26 +62,26 @@
         self.source = "file"  # or copy, log
         self.heard = -inf  # when the log was last heard of
         self.born = now
-        self.caught_up = False  # with the log, once in this life
+        self.caught_up = False  # with a log that was led, once in this life
         self._back_since = inf
 
     def start(self, number: int, at: float, mark: bytes, content: Content) -> None:
         """A copy of an earlier life."""
         self.number, self.at, self.mark, self.content, self.source = number, at, mark, content, "copy"
 
-    def look(self, now: float, log: Revisions, caught_up: bool, heard: float) -> Taken | None:
+    def look(self, now: float, log: Revisions, here: Here) -> Taken | None:
         """What changes now, if anything; it is in force from here on."""
-        self.heard = max(self.heard, heard)
-        if not caught_up or log.spoilt:
+        self.heard = max(self.heard, here.heard)
+        if not here.caught_up or log.spoilt:
             self._back_since = inf
             return None
-        self.caught_up = True
+        self.caught_up = self.caught_up or here.led
         if log.mark == self.mark:
             self._back_since = inf
             self.source = "log" if log.number else "file"
             return None
-        if log.number <= self.number and now < min(self._back_since, now) + BACK:
-            self._back_since = min(self._back_since, now)
+        if log.number <= self.number and (not here.led or now < min(self._back_since, now) + BACK):
+            self._back_since = min(self._back_since, now) if here.led else inf
             return None
         self._back_since = inf
         return self._take(now, log)
--- a/brackenpulley/configuration/service.py
+++ b/brackenpulley/configuration/service.py
@@ -121,7 +121,7 @@
             return
         now = self.loop.clock()
         silent = self.force.silent(now)
-        taken = self.force.look(now, self.revisions, *log_here(agreement, now))
+        taken = self.force.look(now, self.revisions, log_here(agreement, now))
         if silent > CUT and self.force.silent(now) < CUT:
             self._times += 1  # what it said while it counted as dead was not heard
         if taken is None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from benchmarks.configuration import drawn_change, run
+from benchmarks.configuration import compaction, drawn_change, run, size_run
 from brackenpulley.configuration import store
-from brackenpulley.configuration.force import BACK, BLIND, InForce
+from brackenpulley.configuration.force import BACK, BLIND, Here, InForce
 from brackenpulley.configuration.revisions import HISTORY, Revisions
 from brackenpulley.configuration.rollcall import REMEMBERED, RollCall
 from brackenpulley.configuration.rollcall import pack as pack_row
@@ -206,16 +206,16 @@
 def test_what_holds_here_follows_the_log_and_outlives_its_silence() -> None:
     log, force = Revisions("f"), InForce(100.0)
     proposed(log, Change(0, "ann", {"a": FIGURES}, {7: "a"}))
-    assert force.look(101.0, log, False, -inf) is None  # not caught up
+    assert force.look(101.0, log, Here(False)) is None  # not caught up
     assert not force.knows(101.0) and force.knows(100.0 + BLIND)
     assert (force.number, force.source) == (0, "file")
-    taken = force.look(102.0, log, True, 102.0)
+    taken = force.look(102.0, log, Here(True, 102.0, True))
     assert taken is not None and (taken.plans, taken.firms) == (["a"], [7])
     assert (force.number, force.source, force.since) == (1, "log", 102.0) and force.knows(102.0)
     proposed(log, Change(1, "ann", {}, {7: None}))
     assert force.content.firms == {7: "a"}  # nothing shows through before it is looked at
-    assert force.look(103.0, log, True, 103.0) is not None and force.content.firms == {}
-    assert force.look(500.0, log, False, -inf) is None and force.number == 2 and force.silent(500.0) == 397.0
+    assert force.look(103.0, log, Here(True, 103.0, True)) is not None and force.content.firms == {}
+    assert force.look(500.0, log, Here(False)) is None and force.number == 2 and force.silent(500.0) == 397.0
 
 
 def test_a_process_that_starts_anew_never_goes_the_way_by_and_a_log_that_is_behind_is_waited_for() -> None:
@@ -226,16 +226,31 @@
     force.start(log.number, log.at, log.mark, log.content.copy())
     assert (force.number, force.source) == (2, "copy")
     log.load(behind)  # a voter's disk, before the others have said what is committed
-    assert force.look(101.0, log, True, 101.0) is None and force.number == 2
+    assert force.look(101.0, log, Here(True, 101.0, True)) is None and force.number == 2
     proposed(log, Change(1, "ann", {"a": Figures(3.0, 3.0)}))
-    assert force.look(102.0, log, True, 102.0) is None and force.source == "log"
+    assert force.look(102.0, log, Here(True, 102.0, True)) is None and force.source == "log"
     log.load(behind)  # and where the fleet's log is another one, it says so for as long
-    assert force.look(110.0, log, True, 110.0) is None
-    assert force.look(109.9 + BACK, log, True, 110.0) is None
-    taken = force.look(110.0 + BACK, log, True, 110.0)
+    assert force.look(110.0, log, Here(True, 110.0, True)) is None
+    assert force.look(109.9 + BACK, log, Here(True, 110.0, True)) is None
+    taken = force.look(110.0 + BACK, log, Here(True, 110.0, True))
     assert taken is not None and force.number == 1 and force.content.plans == {"a": FIGURES}
 
 
+def test_a_side_without_a_leader_takes_what_was_agreed_and_goes_back_to_nothing() -> None:
+    """Who starts anew there asks a voter that is cut off itself: what that calls committed is, and it may be old."""
+    log, force = Revisions("f"), InForce(100.0)
+    proposed(log, Change(0, "ann", {"a": FIGURES}))
+    assert force.look(101.0, log, Here(True)) is not None and force.number == 1
+    assert not force.knows(101.0) and force.knows(100.0 + BLIND) and force.silent(150.0) == 50.0
+    force = InForce(100.0)
+    force.start(5, 50.0, b"five", content())
+    for now in (101.0, 101.0 + BACK, 101.0 + 50 * BACK):
+        assert force.look(now, log, Here(True)) is None and force.number == 5
+    assert force.look(900.0, log, Here(True, 900.0, True)) is None
+    assert force.look(905.0, log, Here(True, 900.0)) is None  # its leader is gone: the time begins anew
+    assert force.look(900.1 + BACK, log, Here(True, 910.0, True)) is None and force.number == 5
+
+
 def test_the_own_copy_is_read_back_and_a_spoilt_one_is_told_apart(tmp_path: Path) -> None:
     path = str(tmp_path / "copy")
     assert store.load(path, "f") is None
@@ -281,6 +296,18 @@
     assert report["revisions"] > 0
 
 
+def test_a_change_is_in_force_in_time_while_some_restart_and_a_region_is_away() -> None:
+    """The short form of --only sizes; at the end those cut off catch up by the difference."""
+    report = size_run(60)
+    assert report["wrong"] == [] and report["cutOff"] == 21 and report["cutOffHave"] == [3]
+    assert report["returnBytesEach"] < 10 * report["changeBytes"] * report["changes"]
+
+
+def test_a_region_that_returns_after_the_log_became_a_snapshot_is_told_all_of_it() -> None:
+    report = compaction(18, 1600)
+    assert report["wrong"] == [] and report["snapshotsWhileFollowing"] == 0 and report["snapshotsAtReturn"] >= 6
+
+
 PLANTS: dict[str, tuple[Any, str]] = {
     "a change counts on whatever stands": (Revisions, "apply"),
     "the way back forgets the oldest step": (Revisions, "way_back"),
