--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -645,6 +645,7 @@
                 wrong.append(f"revision {number} not in force at {len(skipped)} in time")
         world.run(max(world.now, asked[number] + 2.0))
     lasted, last = world.now - begin, max(asked)
+    world.run(world.now + 6.0)  # who started anew there has asked each voter by now, of which it reaches one
     told = {name: count / lasted for name, count in fleet.sent.items()}
     old = world.now - max((fleet.force[name].heard for name in cut_off), default=0.0)
     served = {name: fleet.force[name].number for name in cut_off}
@@ -792,9 +793,11 @@
                 before = [one.used() for one in fleet.processes]
                 answers: list[int] = []
                 for number in range(count):
-                    fleet.loop.call_in(seconds * number / count, lambda number=number: fleet.processes[  # type: ignore
-                        3].call("POST", "/v1/configuration", {"base": number, "by": "t", "plans": {
-                            "new": {"rate": number + 1.0, "burst": 9.0}}}, lambda status, body: answers.append(status)))
+                    fleet.loop.call_in(seconds * number / count, lambda number=number, one=fleet.processes[3],  # type: ignore
+                                       answers=answers: one.call(
+                        "POST", "/v1/configuration", {"base": number, "by": "t", "plans": {
+                            "new": {"rate": number + 1.0, "burst": 9.0}}},
+                        lambda status, body: answers.append(status)))
                 fleet.turn(seconds)
                 after = [one.used() for one in fleet.processes]
                 cpu = [(b[0] - a[0]) / seconds * 100 for a, b in zip(before, after, strict=True)]
--- a/brackenpulley/configuration/service.py
+++ b/brackenpulley/configuration/service.py
@@ -29,7 +29,8 @@
 
 LOOK = 0.2  # s between looks
 SAVE, SAVE_EACH = 5.0, 0.001  # s from a change to the own copy of it, and more an entry: it holds the loop
-CUT = 3.0  # s of the log's silence after which others may have forgotten what this process told of itself
+CUT, BACK = 3.0, 30.0  # s of the log's silence after which others may have forgotten what this process told of
+# itself; and after its return in which members come to know each other again
 ROW = 100.0  # bytes of one process's record as it is gossiped
 
 
@@ -63,6 +64,7 @@
                                                       "counter": daemon.config.counter}
         self._gone: set[str] = set()  # plans that neither the file nor the revision in force has
         self._told_at, self._told, self._times = -1e9, b"", 0
+        self._returned_at, self._size = -1e9, 0
         self._saving: Timer | None = None
         self._going = False
         agreement.parts[PART] = lambda: Revisions(self.fleet, self._refused)
@@ -123,7 +125,7 @@
         silent = self.force.silent(now)
         taken = self.force.look(now, self.revisions, log_here(agreement, now))
         if silent > CUT and self.force.silent(now) < CUT:
-            self._times += 1  # what it said while it counted as dead was not heard
+            self._returned_at = now
         if taken is None:
             return
         self._put(taken)
@@ -184,7 +186,12 @@
     def _tell(self) -> None:
         """No oftener than all records of this kind can go round by what one member may gossip a second."""
         records, protocol, now = self._records(), self.daemon.members.service.protocol, self.loop.clock()
-        if records is None or protocol is None or now < self._told_at + ROW * protocol.size / RATE:
+        if records is None or protocol is None:
+            return
+        if now < self._returned_at + BACK and protocol.size > self._size:
+            self._times += 1  # what it said while these counted it as dead was not heard
+        self._size = protocol.size
+        if now < self._told_at + ROW * protocol.size / RATE:
             return
         value = pack_row(self.daemon.config.name, self.force.number, self.force.mark, self.force.since,
                          self.force.born, self._times)
