--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -20,6 +20,7 @@
 import json
 import multiprocessing
 import random
+import shutil
 import sys
 import time
 import tracemalloc
@@ -28,6 +29,7 @@
 from typing import Any
 
 from benchmarks.work_order import Fleet as WorkFleet
+from benchmarks.work_order import free_at
 from brackenpulley.configuration.force import Here, InForce, log_here
 from brackenpulley.configuration.revisions import PART, Revisions
 from brackenpulley.configuration.rules import Change, ChangeError, Content, check, encoded
@@ -353,6 +355,12 @@
 
     def __init__(self, followers: int, seed: int) -> None:
         self.fleet = WorkFleet(3 + followers, seed, 3, more="[configuration]\n")
+        # At addresses of their own: on a busy machine a connection from 127.0.0.1 takes a port there that was free.
+        for one in self.fleet.processes:
+            one.control, one.at = (one.host, free_at(one.host)), (one.host, free_at(one.host))
+            shutil.rmtree(one.folder)
+            one.write()
+        self.fleet.load.ingresses[:] = [one.at for one in self.fleet.processes]
         self.wrong: list[str] = []
         self.marks: dict[int, str] = {}
         self.seen: dict[tuple[str, int], int] = {}  # process and life: its revision
@@ -436,6 +444,8 @@
         fleet.watch()
         trial.until("all ready", lambda: all(one.status.get("ready") and one.status["configuration"]["from"] == "file"
                                              for one in fleet.processes), 40.0)
+        if trial.wrong:
+            return {"seed": seed, "processes": size, "s": trial.told, "inForceS": {}, "served": 0, "wrong": trial.wrong}
         fleet.front()
         fleet.load.start()
         fleet.do(Line(0.0, "loss", ("*", "0.2")))
@@ -644,8 +654,8 @@
             if any(fleet.force[name].number < number for name in skipped):
                 wrong.append(f"revision {number} not in force at {len(skipped)} in time")
         world.run(max(world.now, asked[number] + 2.0))
-    lasted, last = world.now - begin, max(asked)
     world.run(world.now + 6.0)  # who started anew there has asked each voter by now, of which it reaches one
+    lasted, last = world.now - begin, max(asked)
     told = {name: count / lasted for name, count in fleet.sent.items()}
     old = world.now - max((fleet.force[name].heard for name in cut_off), default=0.0)
     served = {name: fleet.force[name].number for name in cut_off}
