--- a/brackenpulley/configuration/rules.py
+++ b/brackenpulley/configuration/rules.py
@@ -26,7 +26,7 @@
 FIRM_BYTES, ROW_BYTES = 4, 30  # of a snapshot, at most: a firm, and each of a plan's two rows of them (wire.pack)
 # Hard bounds, the same everywhere: the settings may hold less. A process that starts anew hears all of it and of what
 # takes the last changes back (`revisions.HISTORY`): 196 KB are 14 s at 14 KB a second.
-MOST_ENTRIES, MOST_BYTES, MOST_CHANGE = 100_000, 180_000, 16_000
+MOST_ENTRIES, MOST_BYTES, MOST_CHANGE = 100_000, 184_000, 12_000
 
 
 class ChangeError(ValueError):
--- a/brackenpulley/operator.py
+++ b/brackenpulley/operator.py
@@ -327,7 +327,7 @@
     if plans is not None:
         raise ConfigError(f"{name}: not with [plans]: which plan a firm is on would have two books")
     # With what takes changes back, 196 KB: what a process that starts anew can be told in 14 s at 14 KB a second.
-    size, change = _whole(part, name, "most_kb", 180, 1, 180), _whole(part, name, "change_kb", 16, 1, 16)
+    size, change = _whole(part, name, "most_kb", 184, 1, 184), _whole(part, name, "change_kb", 12, 1, 12)
     if change > size:
         raise ConfigError(f"{name}.change_kb: {change} is over {name}.most_kb, {size}")
     return ConfigurationPart(_text(part, name, "path") if "path" in part else "",
