--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -355,9 +355,11 @@
 
     def __init__(self, followers: int, seed: int) -> None:
         self.fleet = WorkFleet(3 + followers, seed, 3, more="[configuration]\n")
-        # At addresses of their own: on a busy machine a connection from 127.0.0.1 takes a port there that was free.
+        # Each at an address of its own: on a busy machine a connection from 127.0.0.1 takes a port there that was
+        # free, and a port that is free may be chosen twice.
         for one in self.fleet.processes:
-            one.control, one.at = (one.host, free_at(one.host)), (one.host, free_at(one.host))
+            hosts = [f"{one.host.rpartition('.')[0]}.{last}" for last in (2, 3)]
+            one.control, one.at = ((host, free_at(host)) for host in hosts)
             shutil.rmtree(one.folder)
             one.write()
         self.fleet.load.ingresses[:] = [one.at for one in self.fleet.processes]
