--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -20,7 +20,6 @@
 import json
 import multiprocessing
 import random
-import shutil
 import sys
 import time
 import tracemalloc
@@ -29,7 +28,6 @@
 from typing import Any
 
 from benchmarks.work_order import Fleet as WorkFleet
-from benchmarks.work_order import free_at
 from brackenpulley.configuration.force import Here, InForce, log_here
 from brackenpulley.configuration.revisions import PART, Revisions
 from brackenpulley.configuration.rules import Change, ChangeError, Content, check, encoded
@@ -355,14 +353,6 @@
 
     def __init__(self, followers: int, seed: int) -> None:
         self.fleet = WorkFleet(3 + followers, seed, 3, more="[configuration]\n")
-        # Each at an address of its own: on a busy machine a connection from 127.0.0.1 takes a port there that was
-        # free, and a port that is free may be chosen twice.
-        for one in self.fleet.processes:
-            hosts = [f"{one.host.rpartition('.')[0]}.{last}" for last in (2, 3)]
-            one.control, one.at = ((host, free_at(host)) for host in hosts)
-            shutil.rmtree(one.folder)
-            one.write()
-        self.fleet.load.ingresses[:] = [one.at for one in self.fleet.processes]
         self.wrong: list[str] = []
         self.marks: dict[int, str] = {}
         self.seen: dict[tuple[str, int], int] = {}  # process and life: its revision
