--- /dev/null
+++ b/benchmarks/capacity/kinds/__init__.py
@@ -0,0 +1,14 @@
+"""What can be measured, by the name that `--only` takes. Each gives slopes as `measure.slope` makes them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..measure import Slope
+from . import agreed, counter, lists, members, news, processes, shares, tenants
+
+KINDS: dict[str, Callable[[int], list[Slope]]] = {
+    "list": lists.measured, "module": lists.message, "tenants": tenants.measured, "members": members.measured,
+    "records": members.records, "news": news.measured, "log": agreed.measured, "shares": shares.measured,
+        "counter": counter.measured,
+    "connections": counter.connections, "process": processes.ingress, "supervisor": processes.supervisor}
--- /dev/null
+++ b/benchmarks/capacity/second.py
@@ -0,0 +1,43 @@
+"""Second sources for fits that are stretched more than four times: counted by the code, or taken from a hollow run."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from brackenpulley.policy.brain import PACE_MAX
+
+from .kinds import shares
+from .line import SIZE
+
+INNER = 24  # servers at the true number of ingresses: the code goes over servers one by one
+
+
+def counted() -> list[dict[str, Any]]:
+    """A part of the work at its true inner size, and how often the code does it."""
+    ingresses, servers = int(SIZE["ingresses"]), int(SIZE["servers"])
+    found = shares.of(ingresses, INNER)
+    times, cells = servers / INNER, float(ingresses * servers)
+    how = f"{INNER} servers with {ingresses} lives each, times {times:g}: the code goes over the servers one by one"
+    rows = [{"key": f"shares.{name}", "source": "counting", "n": cells, "how": how,
+             "value": float(f"{min(one[name] for one in found) * times:.4g}")}
+            for name in ("memory", "hold", "rest", "bytes", "dump", "load")]
+    draws = SIZE["requests"] / servers * 10.0
+    rows.append({"key": "connections.server", "source": "counting", "n": SIZE["ingresses"],
+                 "value": round(ingresses * (1 - math.exp(-draws / ingresses)), 1),
+                 "how": "ingresses that a server's requests of 10 s come from, each drawn at random"})
+    rows.append({"key": "connections.calls", "source": "counting", "n": SIZE["ingresses"],
+        "value": round(ingresses / PACE_MAX, 1),
+                 "how": f"one call of each in PACE_MAX = {PACE_MAX} s, its slowest pace; the page takes the greater"})
+    rows.append({"key": "connections.handshakes", "source": "counting", "n": SIZE["ingresses"], "value": 1.0,
+                 "how": "one for each attempt at most; the page takes no more"})
+    rows.append({"key": "news.late", "source": "counting", "n": SIZE["ingresses"],
+                 "value": round(20.0 * ingresses / 32, 1),
+                 "how": "REPAIR = 20 s for 32 members, longer in proportion: from one full exchange to the next"})
+    return rows
+
+
+def hollow(told: dict[str, Any]) -> list[dict[str, Any]]:
+    """Rows of `benchmarks.scale --json`: its "slopes" are {"key", "n", "value", "how"}, the key one of ours."""
+    return [{"key": str(row["key"]), "source": "hollow", "n": float(row["n"]), "value": float(row["value"]),
+             "how": str(row.get("how", "benchmarks.scale"))} for row in told.get("slopes", [])]
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,157 @@
+"""The page of capacity and the file of results agree, and what --check is there to find is found."""
+
+from __future__ import annotations
+
+import copy
+import json
+import math
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from benchmarks.capacity.__main__ import FILE, PAGE, main, read, write
+from benchmarks.capacity.fits import fit
+from benchmarks.capacity.kinds import lists
+from benchmarks.capacity.line import SIZE, At, Measured, fitted
+from benchmarks.capacity.page import faults, text
+from benchmarks.capacity.second import hollow
+from benchmarks.capacity.sheet import ROWS, Row
+from benchmarks.capacity.walk import deciding, following, passes, walk
+
+SIZES = (50, 100, 200, 400, 800)
+
+
+@pytest.fixture(scope="module")
+def raw() -> dict[str, Any]:
+    return read(FILE)
+
+
+def checked(tmp_path: Path, found: dict[str, Any], page: str) -> int:
+    write(tmp_path / "capacity.json", found)
+    (tmp_path / "CAPACITY.md").write_text(page, encoding="utf-8")
+    return main(["--check", "--file", str(tmp_path / "capacity.json"), "--out", str(tmp_path / "CAPACITY.md")])
+
+
+def test_the_committed_page_is_true_to_the_committed_file() -> None:
+    assert main(["--check"]) == 0
+
+
+def test_a_page_that_differs_is_found(tmp_path: Path, raw: dict[str, Any]) -> None:
+    page = PAGE.read_text(encoding="utf-8")
+    assert checked(tmp_path, raw, page) == 0
+    assert checked(tmp_path, raw, page.replace("14 KB", "15 KB", 1)) == 1
+    assert checked(tmp_path, raw, "") == 1
+
+
+def test_a_file_that_differs_is_found(tmp_path: Path, raw: dict[str, Any]) -> None:
+    other = copy.deepcopy(raw)
+    point = next(row for row in other["slopes"] if row["key"] == "list.bytes")["points"][-1]
+    point["values"] = [value * 1.3 for value in point["values"]]
+    assert checked(tmp_path, other, PAGE.read_text(encoding="utf-8")) == 1
+
+
+def test_a_slope_that_is_missing_is_found(tmp_path: Path, raw: dict[str, Any]) -> None:
+    other = {**raw, "slopes": [row for row in raw["slopes"] if row["key"] != "list.bytes"]}
+    assert checked(tmp_path, other, PAGE.read_text(encoding="utf-8")) == 1
+
+
+def test_a_slope_of_three_sizes_is_found(tmp_path: Path, raw: dict[str, Any]) -> None:
+    other = copy.deepcopy(raw)
+    row = next(row for row in other["slopes"] if row["key"] == "list.bytes")
+    row["points"] = row["points"][:3]
+    assert checked(tmp_path, other, PAGE.read_text(encoding="utf-8")) == 1
+
+
+@pytest.mark.parametrize(("what", "said"), [({"limit": None}, "no limit"), ({"says": ""}, "no limit"),
+                                            ({"mechanism": ""}, "neither a mechanism nor 'none'")])
+def test_a_row_that_lacks_something_is_found(raw: dict[str, Any], what: dict[str, Any], said: str) -> None:
+    rows = [replace(ROWS[0], **what), *ROWS[1:]]
+    assert any(said in line for line in faults(raw, text(raw, rows), rows))
+
+
+def test_a_row_without_a_mechanism_that_says_so_is_none(raw: dict[str, Any]) -> None:
+    rows = [replace(ROWS[0], mechanism="none"), *ROWS[1:]]
+    assert faults(raw, text(raw, rows), rows) == []
+
+
+def test_a_fit_stretched_too_far_wants_a_second_source(raw: dict[str, Any]) -> None:
+    other = copy.deepcopy(raw)
+    row = next(row for row in other["slopes"] if row["key"] == "list.bytes")
+    row["points"] = [{"n": n, "values": [180.0 * n] * 3} for n in (100, 400, 1000, 2900)]
+    found = faults(other, text(other))
+    assert found and all("list.bytes is stretched 4.1 times, no second source" in line for line in found)
+    other["source2"] = [*other["source2"], {"key": "list.bytes", "source": "counting", "n": SIZE["servers"],
+                                            "value": 2e6, "how": "an entry has 180 bytes"}]
+    assert faults(other, text(other)) == []
+    assert "**stretched 4.1 times**; second source, counting" in text(other)
+
+
+@pytest.mark.parametrize(("form", "shape"), [
+    ("constant", lambda n: 40.0), ("n", lambda n: 3.0 + 0.2 * n), ("n squared", lambda n: 5.0 + 0.001 * n * n),
+    ("log n", lambda n: 2.0 + 7.0 * math.log(n))])
+def test_the_fit_chooses_the_form_of_made_up_figures(form: str, shape: Callable[[float], float]) -> None:
+    for seed in range(50):
+        rng = random.Random(seed)
+        found = fit([(n, shape(n) * rng.uniform(0.98, 1.02)) for n in SIZES], 0.04)
+        assert found.form == form, seed
+        assert found.at(3200) == pytest.approx(shape(3200), rel=0.12)
+        assert abs(found.over) < 0.04 and found.stretched(3200) == 4
+
+
+def test_a_fit_says_what_it_leaves_over() -> None:
+    found = fit([(50, 10.0), (100, 20.0), (200, 40.0), (400, 120.0)])
+    assert found.largest == 400 and found.over == pytest.approx((120.0 - found.at(400)) / 120.0)
+    with pytest.raises(ValueError, match="four sizes"):
+        fit([(50, 10.0), (100, 20.0), (200, 40.0)])
+
+
+def made(what: str, need: Callable[[At], float] | None, limit: float, source: str = "letter", **more: Any) -> Row:
+    return Row("role", what, "", "", need, limit, "said", source, more.pop("mechanism", "module"), "", **more)
+
+
+def test_the_walk_is_by_the_fits_and_what_is_missing_from_the_start_comes_first(raw: dict[str, Any]) -> None:
+    rows = [made("half way", lambda at: at.ingresses, 465.0), made("never", lambda at: at.ingresses, 1000.0),
+            made("services", lambda at: at.services, 1.0, mechanism="none", counted=True),
+            made("missing", None, 14.0, mechanism="none", start=True), made("open", None, 1.0),
+            made("passed today", lambda at: at.servers, 50.0, "assumption"),
+            made("by a slope", lambda at: at.slope("list.bytes", at.servers),
+                 fitted(next(row for row in raw["slopes"] if row["key"] == "list.bytes")).at(6030))]
+    found = walk(rows, Measured(raw))
+    assert [one.row.what for one in found] == ["missing", "passed today", "services", "half way", "by a slope"]
+    assert [one.f for one in found] == pytest.approx([0.0, 0.0, 1 / 259, 0.5, 0.5], abs=1e-6)
+    assert [one.row.what for one in deciding(found)] == ["missing", "services", "half way", "by a slope"]
+    assert passes(rows[1], Measured(raw)) is None and passes(rows[4], Measured(raw)) is None
+
+
+def test_the_page_names_the_first_and_the_three_next(raw: dict[str, Any]) -> None:
+    found = deciding(walk(ROWS, Measured(raw)))
+    page = PAGE.read_text(encoding="utf-8")
+    assert f"**First: {found[0].row.what}**" in page
+    after = following(found, 3)
+    assert len({found[0].row.part, *(one.row.part for one in after)}) == 4
+    assert all(f"{one.row.part}, {one.row.what} (f = {one.f:.4f})" in page for one in after)
+
+
+def test_a_hollow_run_is_taken_as_second_source(tmp_path: Path, raw: dict[str, Any]) -> None:
+    rows = {"slopes": [{"key": "members.bytes", "n": 890, "value": 312.5, "how": "890 hollow"}]}
+    assert hollow(rows)[0]["source"] == "hollow"
+    write(tmp_path / "capacity.json", raw)
+    (tmp_path / "scale.json").write_text(json.dumps(rows))
+    for _ in range(2):  # the second time it replaces the first
+        assert main(["--take", str(tmp_path / "scale.json"), "--file", str(tmp_path / "capacity.json"),
+                     "--out", str(tmp_path / "CAPACITY.md")]) == 0
+    told = read(tmp_path / "capacity.json")
+    assert [row for row in told["source2"] if row["source"] == "hollow" and row["n"] == 890] == hollow(rows)
+    assert checked(tmp_path, told, (tmp_path / "CAPACITY.md").read_text(encoding="utf-8")) == 0
+
+
+def test_a_slope_is_measured() -> None:
+    found = {row["key"]: row for row in lists.measured(1, (40, 80, 160, 320))}
+    told = fitted(found["list.bytes"])
+    assert told.form == "n" and told.slope == pytest.approx(180, rel=0.05)
+    assert all(len(point["values"]) == 3 for row in found.values() for point in row["points"])
+    assert fitted(found["list.change_bytes"]).form == "constant"
