--- a/benchmarks/capacity/kinds/lists.py
+++ b/benchmarks/capacity/kinds/lists.py
@@ -32,7 +32,7 @@
 
 
 def whole(rows: list[dict[str, Any]]) -> bytes:
-    return json.dumps({"generation": 7, "reset": True, "instances": rows}).encode()
+    return json.dumps({"generation": 7, "reset": True, "instances": rows}, separators=(",", ":")).encode()
 
 
 class Listed:
@@ -78,7 +78,7 @@
     parts = cpu(lambda: None) if len(data) <= PART else cpu(lambda: fresh.takes(data))
     last = data[max(0, (len(data) - 1) // PART * PART):]
     hold = cpu(lambda: fresh.told(last))
-    changed = [whole([{**rows[n % len(rows)], "lifecycle": "DRAINING"}]).replace(b'"reset": true', b'"reset": false')
+    changed = [whole([{**rows[n % len(rows)], "lifecycle": "DRAINING"}]).replace(b'"reset":true', b'"reset":false')
                for n in range(8)]
     turn = iter(changed)
     change = cpu(lambda: fresh.told(next(turn)), len(changed))
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -6,7 +6,7 @@
 
 from .fits import FAR
 from .line import ASSUMED, SIZE, TODAY, At, Measured, spread, value
-from .sheet import ROLES, ROWS, Row
+from .sheet import BYTES, ROLES, ROWS, Row
 from .walk import Passed, deciding, following, walk
 
 HEAD = ("what", "grows with", "slope measured, at which sizes, by which command", "at the size", "limit",
@@ -135,6 +135,36 @@
 `python -m benchmarks.scale --json` into the second sources; `python -m benchmarks.capacity --help` has the form."""
 
 
+def known(measured: Measured) -> list[list[str]]:
+    """What was known before the page, beside the same measured here."""
+    def at(key: str, size: float) -> float:
+        points = {float(p["n"]): value(p, measured.rows[key]["take"]) for p in measured.rows[key]["points"]}
+        return points[size] if size in points else measured.fits[key].at(size)
+    size = SIZE["servers"]
+    whole = at("list.bytes", size)
+    calls = [value(p, "median") for p in measured.rows["counter.leased"]["points"]]
+    trial = measured.fits["members.trial"]
+    return [
+        ["bytes of discovery's entry", "172", figure(whole / size)],
+        ["a whole list of 12,000, MB", "2.06", figure(whole / 1e6)],
+        ["the same in s of 14 KB a second", "147", figure(whole / BYTES)],
+        ["the same as part of `LONGEST`", "half", figure(whole / (1 << 22))],
+        ["the turn that takes it, ms", "some 64", figure(at("list.hold", size))],
+        ["what is held for it, MB", "5.8", f"{figure(at('list.memory', size))} with the module's records, "
+                                           f"{figure(at('list.highest', size))} at the highest point"],
+        ["a message in the module at 1,000 and at 12,000, us", "34, 88",
+         f"{figure(at('module.message', 1000.0))}, {figure(at('module.message', size))}"],
+        ["44,000 firms met once, MB", "28", figure(at("tenants.memory", SIZE["tenants"]))],
+        ["counter calls a try of leased firms", "1.2 to 1.5",
+        f"{figure(min(calls))} to {figure(max(calls))}, by tries a second"],
+        ["`benchmarks.membership --sizes 890`", "does not end in four minutes",
+         f"joining alone takes {figure(trial.at(SIZE['ingresses']))} s of processor time by the fit ({trial.text()}) "
+         "and is done three times; `Protocol._is_alive` compares each new member with all that are known, `Queue.take` "
+         "sorts all that waits for each datagram (the first two of a profile of 200 that join)"],
+        ["what carries a changed configuration to all", "nothing", "nothing"],
+        ["what knows a service, a route or a region", "nothing", "nothing"]]
+
+
 def text(raw: dict[str, Any], rows: list[Row] = ROWS) -> str:
     measured = Measured(raw)
     lines = [HEADING.format(stick=figure(raw.get("yardstick", 0.0)), far=FAR)]
@@ -149,6 +179,7 @@
             [f"`{row['key']}`", row["source"], figure(row["n"]), figure(row["value"]),
              figure(measured.fits[row["key"]].at(row["n"])) if row["key"] in measured.fits else "", row["how"]]
             for row in second]), ""]
+    lines += ["## Known before, measured again", "", *table(("what", "known", "here"), known(measured)), ""]
     lines += ["## Assumptions", "", *table(("figure", "what", "why"), [
         [figure(number), what, reason] for number, what, reason in ASSUMED.values()]), "", HOLLOW, ""]
     return "\n".join(lines)
