--- a/benchmarks/capacity/line.py
+++ b/benchmarks/capacity/line.py
@@ -75,8 +75,7 @@
 
     @property
     def far(self) -> bool:
-        return self.fit.form != "constant" and self.fit.stretched(self.size) > FAR or (
-            self.fit.form == "constant" and self.fit.stretched(self.size) > FAR)
+        return self.fit.stretched(self.size) > FAR
 
 
 class Measured:
@@ -87,8 +86,10 @@
         self.rows: dict[str, dict[str, Any]] = {row["key"]: row for row in raw["slopes"]}
         self.fits = {key: fitted(row) for key, row in self.rows.items()}
 
-    def second(self, key: str) -> dict[str, Any] | None:
-        return next((row for row in self.raw.get("source2", []) if row["key"] == key), None)
+    def second(self, key: str, size: float) -> dict[str, Any] | None:
+        """The second source nearest to that size; one that would itself be stretched too far is none."""
+        rows = [row for row in self.raw.get("source2", []) if row["key"] == key and size / row["n"] <= FAR]
+        return min(rows, key=lambda row: (abs(row["n"] - size), row["source"]), default=None)
 
 
 class At:
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -38,7 +38,7 @@
         sizes = [p["n"] for p in row["points"]]
         told = f"`{key}` {use.fit.text()} ({only(row)}, {figure(min(sizes))} to {figure(max(sizes))})"
         if use.far:
-            second = measured.second(key)
+            second = measured.second(key, use.size)
             told += f" **stretched {use.fit.stretched(use.size):.1f} times**"
             if second is not None:
                 told += f"; second source, {second['source']}: {figure(second['value'])} at {figure(second['n'])}"
@@ -202,7 +202,7 @@
             at = At(measured, 1.0)
             row.need(at)
             for key, use in at.used.items():
-                if use.far and measured.second(key) is None:
+                if use.far and measured.second(key, use.size) is None:
                     times = use.fit.stretched(use.size)
                     found.append(f"{row.role}: {row.what}: {key} is stretched {times:.1f} times, no second source")
         if text(raw, rows) != page:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -87,6 +87,9 @@
     other["source2"] = [*other["source2"], {"key": "list.bytes", "source": "counting", "n": SIZE["servers"],
                                             "value": 2e6, "how": "an entry has 180 bytes"}]
     assert faults(other, text(other)) == []
+    near = copy.deepcopy(other)
+    near["source2"][-1]["n"] = 2990.0  # stretched over four times itself
+    assert any("no second source" in line for line in faults(near, text(near)))
     assert "**stretched 4.1 times**; second source, counting" in text(other)
 
 
