--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from benchmarks.configuration import compaction, drawn_change, run, size_run
+from benchmarks.configuration import drawn_change, run
+from benchmarks.configuration_sizes import compaction, size_run
 from brackenpulley.configuration import store
 from brackenpulley.configuration.force import BACK, BLIND, Here, InForce
 from brackenpulley.configuration.revisions import HISTORY, Revisions
