--- a/brackenpulley/configuration/service.py
+++ b/brackenpulley/configuration/service.py
@@ -34,10 +34,6 @@
 ROW = 100.0  # bytes of one process's record as it is gossiped
 
 
-class Movable(Protocol):
-    def move(self, at: Address) -> None: ...
-
-
 class Parts(Protocol):
     """What it needs of the daemon."""
 
