Capacity: the hollow run at 400 is a second source; runs of one size stand side by side

A later hollow run replaced the start at 12,000 servers of an earlier one: 3.14 s (200 hollow) would have become 1.3 s (400 hollow) by being taken last.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -11,7 +11,8 @@
 
 FILE is what `python -m benchmarks.scale --json` prints: its report, of which `second.hollow` takes some figures, or an
 object whose "slopes" are rows `{"key": "members.bytes", "n": 890, "value": 312.5, "how": "..."}`, the key that of a
-slope of ours. They replace earlier rows of a hollow run with the same key and size."""
+slope of ours. They replace earlier rows of a hollow run with the same key, size and `how`; runs that differ in `how`
+stand beside each other, so that none is chosen by being taken last."""
 
 from __future__ import annotations
 
@@ -96,9 +97,9 @@
     if told.take:
         from .second import hollow
         new = hollow(json.loads(Path(told.take).read_text(encoding="utf-8")))
-        names = {(row["key"], row["n"]) for row in new}
+        names = {(row["key"], row["n"], row["how"]) for row in new}
         raw["source2"] = [row for row in raw["source2"] if row["source"] != "hollow" or (row["key"],
-        row["n"]) not in names] + new
+        row["n"], row["how"]) not in names] + new
         write(told.file, raw)
     elif not told.page:
         from .kinds import KINDS
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -157,6 +157,18 @@
     assert checked(tmp_path, told, (tmp_path / "CAPACITY.md").read_text(encoding="utf-8")) == 0
 
 
+def test_hollow_runs_of_one_size_stand_beside_each_other(tmp_path: Path, raw: dict[str, Any]) -> None:
+    for value, how in ((3.1, "200 hollow"), (1.3, "400 hollow"), (1.2, "400 hollow")):
+        rows = {"slopes": [{"key": "process.start", "n": 12001, "value": value, "how": how}]}
+        (tmp_path / "scale.json").write_text(json.dumps(rows))
+        if not (tmp_path / "capacity.json").exists():
+            write(tmp_path / "capacity.json", raw)
+        assert main(["--take", str(tmp_path / "scale.json"), "--file", str(tmp_path / "capacity.json"),
+                     "--out", str(tmp_path / "CAPACITY.md")]) == 0
+    found = [(row["value"], row["how"]) for row in read(tmp_path / "capacity.json")["source2"] if row["n"] == 12001]
+    assert found == [(3.1, "200 hollow"), (1.2, "400 hollow")]
+
+
 def test_the_report_of_a_hollow_run_is_read() -> None:
     sent = {"ping": {"outMessages": 1.0, "outBytes": 85.0}, "sync": {"outMessages": 0.1, "outBytes": 240.0},
             "carry_agree": {"outMessages": 1.0, "outBytes": 115.0}, "records": {"outMessages": 5.0, "outBytes": 1100.0}}
