--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -6,7 +6,8 @@
 
 from .fits import FAR
 from .line import ASSUMED, SIZE, TODAY, At, Measured, spread, value
-from .sheet import BYTES, ROLES, ROWS, Row
+from .needs import BYTES
+from .sheet import ROLES, ROWS, Row
 from .walk import Passed, deciding, following, walk
 
 HEAD = ("what", "grows with", "slope measured, at which sizes, by which command", "at the size", "limit",
