Capacity: the hollow run at 890 is shown, as not settled; what went wrong is no second source

The run at 890 (exit 1) says of itself that its membership was not whole: 827 to 879 of 901 members known 113 s after the last start.

--- a/benchmarks/capacity/line.py
+++ b/benchmarks/capacity/line.py
@@ -86,8 +86,10 @@
         self.fits = {key: fitted(row) for key, row in self.rows.items()}
 
     def second(self, key: str, size: float) -> dict[str, Any] | None:
-        """The second source nearest to that size; one that would itself be stretched too far is none."""
-        rows = [row for row in self.raw.get("source2", []) if row["key"] == key and size / row["n"] <= FAR]
+        """The second source nearest to that size; one that would itself be stretched too far is none, nor is a run
+        that went wrong."""
+        rows = [row for row in self.raw.get("source2", [])
+                if row["key"] == key and size / row["n"] <= FAR and not row.get("wrong")]
         return min(rows, key=lambda row: (abs(row["n"] - size), row["source"]), default=None)
 
 
--- a/benchmarks/capacity/second.py
+++ b/benchmarks/capacity/second.py
@@ -52,7 +52,8 @@
 def hollow(told: dict[str, Any]) -> list[dict[str, Any]]:
     """What `benchmarks.scale --json` prints as rows: a report, or an object whose "slopes" are rows already.
 
-    Raises KeyError where it is neither."""
+    A run that says of itself what went wrong is named as such in `how` and is `wrong`: shown, but no second source that
+    a stretched fit may lean on. Raises KeyError where it is neither."""
     if "slopes" in told:
         return [{"key": str(row["key"]), "source": "hollow", "n": float(row["n"]), "value": float(row["value"]),
                  "how": str(row.get("how", "benchmarks.scale"))} for row in told["slopes"]]
@@ -75,5 +76,8 @@
         "control.hold": (members, real["longestHoldMs"]["least"])}
     how = (f"{told['hollow']} hollow and {told['real']} real ingresses, {told['voters']} voters, "
            f"{told['servers']} servers, seed {told['seed']}")
-    return [{"key": key, "source": "hollow", "n": n, "value": float(f"{value:.4g}"), "how": how}
-            for key, (n, value) in found.items() if value]
+    wrong = [str(line).partition(": [")[0] for line in told.get("wrong", [])]
+    if wrong:
+        how += f"; not a settled fleet: {', '.join(wrong)}"
+    return [{"key": key, "source": "hollow", "n": n, "value": float(f"{value:.4g}"), "how": how,
+             **({"wrong": True} if wrong else {})} for key, (n, value) in found.items() if value]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -90,6 +90,9 @@
     near = copy.deepcopy(other)
     near["source2"][-1]["n"] = 2990.0  # stretched over four times itself
     assert any("no second source" in line for line in faults(near, text(near)))
+    ill = copy.deepcopy(other)
+    ill["source2"][-1]["wrong"] = True  # a run that went wrong
+    assert any("no second source" in line for line in faults(ill, text(ill)))
     assert "**stretched 4.1 times**; second source, counting" in text(other)
 
 
@@ -198,13 +201,17 @@
             "carry_agree": {"outMessages": 1.0, "outBytes": 115.0}, "records": {"outMessages": 5.0, "outBytes": 1100.0}}
     real = {"members": sent, "controlBytesASecond": 3597.1, "cpuPercent": {"median": 1.7},
             "residentMb": {"median": 58.0}, "longestHoldMs": {"least": 248.0}}
-    rows = {row["key"]: row for row in hollow({
+    report = {
         "hollow": 100, "real": 4, "voters": 3, "servers": 12000, "seed": 1,
         "calm": {"hollow": {"members": sent}, "real": real, "voter": {"members": sent}},
-        "times": {"agreedToAll": [{"most": 0.2}, {"most": 1.1}], "deathKnown": [], "readyReal": {"most": 1.8}}})}
+        "times": {"agreedToAll": [{"most": 0.2}, {"most": 1.1}], "deathKnown": [], "readyReal": {"most": 1.8}}}
+    rows = {row["key"]: row for row in hollow(report)}
     assert (rows["members.bytes"]["n"], rows["members.bytes"]["value"]) == (107, 325.0)
     assert (rows["log.all"]["n"], rows["log.all"]["value"]) == (104, 1.1)
     assert "members.death" not in rows and rows["control.bytes"]["value"] == 3597.0
+    assert not any("wrong" in row or "settled" in row["how"] for row in rows.values())
+    ill = hollow({**report, "wrong": ["the start: not in 110 s: [{'there': 149}]"]})
+    assert all(row["wrong"] and row["how"].endswith("not a settled fleet: the start: not in 110 s") for row in ill)
 
 
 def test_a_slope_is_measured() -> None:
