--- a/benchmarks/scale/child.py
+++ b/benchmarks/scale/child.py
@@ -111,11 +111,11 @@
     def _over(self) -> None:
         self.ended = True
 
-    def send(self, name: str, **words: Any) -> None:
+    def send(self, name: str, /, **words: Any) -> None:
         """Nobody waits for an answer."""
         self._write(0, name, words)
 
-    def tell(self, name: str, **words: Any) -> None:
+    def tell(self, name: str, /, **words: Any) -> None:
         """Its answer is waited for by `answer`, in the order of the questions."""
         self.number += 1
         self.asked.append(self.number)
@@ -126,7 +126,7 @@
         self.process.stdin.write(json.dumps([number, name, words]).encode() + b"\n")
         self.process.stdin.flush()
 
-    def ask(self, name: str, patience: float = 60.0, **words: Any) -> Any:
+    def ask(self, name: str, /, patience: float = 60.0, **words: Any) -> Any:
         """The run's loop goes on meanwhile. Raises RuntimeError where no answer comes."""
         self.tell(name, **words)
         return self.answer(name, patience)
