--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A client takes a long answer at 80 kB a second; it must get all of it while its sim server still gives it."""
+"""A client takes a long answer at 68 kB a second; it must get all of it while its sim server still gives it."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from harness.settings import build_settings  # noqa: E402
 
 ANSWER_BYTES = 32_000_000  # the page: up to 32 MB
-PIECE_BYTES = 80_000  # that the client takes each second; the page: it may take a body at 64 kB a second
+PIECE_BYTES = 68_000  # that the client takes each second; the page: it may take a body at 64 kB a second
 RECEIVE_BUFFER_BYTES = 65536
 WATCH_SECONDS = 100.0
 
