--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -149,6 +149,7 @@
         self.watch_inventory: Callable[[], None] = lambda: None
         self._events: deque[interface.Event] = deque()
         self._is_handling = False
+        # One for each member of `interface.Action`.
         self._action_handlers: dict[type, Callable[[Any], None]] = {
             interface.Send: self._handle_send,
             interface.Refuse: self._handle_refuse,
@@ -161,6 +162,8 @@
             interface.Log: lambda action: self.log.info("module", text=action.text),
             interface.Charge: self._handle_charge,
             interface.Reserved: self._handle_reserved,
+            interface.Probe: self._skip_unsupported,
+            interface.SendPeerNote: self._skip_unsupported,
         }
 
     def accept(
@@ -348,17 +351,30 @@
 
     def _handle_event(self, event: interface.Event) -> None:
         try:
-            for action in self.decision_module.handle(self.clock(), event):
-                self._action_handlers[type(action)](action)
+            actions = self.decision_module.handle(self.clock(), event)
         except Exception:  # one faulty event must not end the ingress; its message still gets an answer
-            self.metrics.add("faults")
-            self.log.exception("fault", during=type(event).__name__)
+            self._report_fault(event)
+            actions = []
+        for action in actions:
+            try:
+                self._action_handlers[type(action)](action)
+            except Exception:  # one faulty action must not take the others with it
+                self._report_fault(event, action)
         if isinstance(event, interface.MessageReceived | interface.Outcome) and not self._events:
             exchange = self.exchanges.get(event.id)
             if exchange and exchange.is_answer_due:  # the decision module left the message without an answer or a relay
                 self.metrics.add("undecided")
                 self._finish(exchange, Answer("failed", 500))
 
+    def _report_fault(self, event: interface.Event, action: interface.Action | None = None) -> None:
+        """Counts and logs the exception that is being handled."""
+        self.metrics.add("faults")
+        self.log.exception("fault", during=type(event).__name__, action="" if action is None else type(action).__name__)
+
+    def _skip_unsupported(self, action: interface.Probe | interface.SendPeerNote) -> None:
+        """Counts an action for which this driver has no part (see `features`); nothing waits for its result."""
+        self.metrics.add("actions_unsupported")
+
     def _handle_send(self, action: interface.Send) -> None:
         exchange = self.exchanges[action.id]
         now = self.clock()
