A firm without a quota is never due for a report, and its use there is nobody's debt

Cause: DecisionModule.call_counter divides by the burst of the firm's plan. A firm that was due for a report stayed so when it moved to a plan whose burst is 0: ZeroDivisionError in admit_message (Send lost, the message out for ever) and in handle_tick (SetTimer lost, the module's clock stopped). Shown on the module alone, by message, plan book and changed figures. Ruled out: the counter's answers, the plan book, the guarded divisions of ceiling and cap. Related: Firm.take entered use without a quota as unreported (313 units charged after the way back), and with leases a true cost made the level negative (-5), which was leased from the next plan's quota.

Change: a move to a plan without a rate ends the due report, whatever way it came; without a rate nothing is taken from a quota nor left to be reported.

--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -392,6 +392,8 @@
         firm.previous_plan = previous_plan  # empty if new values replaced the old plan: no client names those
         burst_share = self.compute_burst_share(plan, firm.spread, self.settings.most_units * SAVED_MESSAGES)
         firm.change_plan(now, plan, burst_share, self.has_recent_reading(now, firm), self.settings.leased)
+        if not plan.rate:
+            self.firms.set_due(firm, False)
 
     def update_plans(self, now: float, event: interface.PlansChanged) -> None:
         """Applies new values of plans to all firms on them."""
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -88,8 +88,10 @@
     plan_changed_at: float = NEVER
 
     def take(self, units: float) -> None:
-        """Takes units from the quota; a negative number returns them."""
-        self.level, self.used, self.unreported = self.level - units, self.used + units, self.unreported + units
+        """Takes units from the quota, if the plan has one; a negative number returns them."""
+        self.used += units
+        if self.plan.rate:
+            self.level, self.unreported = self.level - units, self.unreported + units
 
     def fill(self, rate: float, capacity: float, dt: float) -> None:
         """Refills the quota at `rate` for `dt` s up to `capacity`; a higher level is kept."""
@@ -120,7 +122,10 @@
         return self.plan.burst * (1 - self.others_rate / self.plan.rate * exp((self.reading_at - now) / decay_seconds))
 
     def change_plan(self, now: float, plan: PlanSpec, share: float, is_current: bool, leased: bool) -> None:
-        """Applies another plan or new values of the same one. Units missing from the full bucket stay missing."""
+        """Applies another plan or new values of the same one. Units missing from the full bucket stay missing.
+
+        Without a quota nothing is missing and nothing is left to be reported.
+        """
         old, old_share, self.plan, self.burst_share, self.plan_changed_at = (
             self.plan,
             self.burst_share,
@@ -128,7 +133,9 @@
             share,
             now,
         )
-        if not old.rate:  # without a quota nothing could be missing
+        if not plan.rate:
+            self.level = self.unreported = 0.0
+        elif not old.rate:
             self.level = 0.0 if leased else plan.burst if is_current else share
         elif not leased:
             self.level += plan.burst - old.burst if is_current else share - old_share
