--- a/brackenpulley/core/features.py
+++ b/brackenpulley/core/features.py
@@ -1,7 +1,12 @@
 """Which features of the settings this driver does not carry out.
 
-Settings say what a deployment allows, and the decision module uses all of it. So it is told only what its driver can
-do: where it counts on a probe or a note that never leaves, it does without the means that it would use otherwise.
+Settings say what a deployment allows, and the decision module uses all of it.
+
+| feature | what the module does with it                    | where nothing carries it out                           |
+| ------- | ----------------------------------------------- | ------------------------------------------------------ |
+| probes  | compares the few servers that it probed last    | switched off: too few would be compared                |
+| notes   | goes by them for quotas, and not by the counter | left on: each quota is divided evenly among the firm's |
+|         |                                                 | ingresses, and together they do not exceed it          |
 """
 
 from __future__ import annotations
@@ -17,6 +22,6 @@
     return [path for path, is_allowed in allowed.items() if is_allowed]
 
 
-def disable_unsupported(settings: Settings) -> Settings:
-    """Returns the settings without the features that are not carried out."""
-    return replace(settings, probes=False, peers=False)
+def disable_probes(settings: Settings) -> Settings:
+    """Returns the settings without probes, which the module would wait for in vain."""
+    return replace(settings, probes=False)
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -22,7 +22,7 @@
 from .address import Address, ConfigError
 from .bodies.memory import BodyMemory
 from .config import Config, reload
-from .core.features import disable_unsupported, list_unsupported
+from .core.features import disable_probes, list_unsupported
 from .core.ingress import Ingress
 from .metrics import Metrics, render_exposition
 from .net.console import Console
@@ -100,7 +100,7 @@
             )
         if unsupported := list_unsupported(config.settings):
             log.info("allowed and not used", settings=unsupported)
-            config.settings = disable_unsupported(config.settings)
+            config.settings = disable_probes(config.settings)
         decision_module = DecisionModule(config.settings, config.seed, self.started_at)
         self.counter: CounterClient | None = None
         if config.counter is not None and config.settings.counter:
