POST /v1/drain takes the ingress out of service; a route that raises is answered 500

Cause: control/api set North.is_draining, a property without a setter: AttributeError, which the server let pass to the loop, so the caller had no answer either. Ruled out: the readiness route, which reads the same state right.

Change: Daemon.leave_service, which the console's call and this one share; ControlServer answers 500 and reports the fault where a route raises.

--- a/brackenpulley/control/api.py
+++ b/brackenpulley/control/api.py
@@ -672,8 +672,8 @@
         return {"ready": True}
 
     def drain(request: Request) -> Any:
-        """Reports not ready from now on; messages are still served until SIGTERM."""
-        daemon.north.is_draining = True
+        """Takes the ingress out of service, as before SIGTERM; what was accepted is still served."""
+        daemon.leave_service()
         return {"draining": True, "held": len(daemon.ingress.exchanges)}
 
     routes.add("GET", "/v1/live", lambda request: daemon.health.status() if daemon.health is not None else {})
--- a/brackenpulley/control/server.py
+++ b/brackenpulley/control/server.py
@@ -17,7 +17,7 @@
 from ..net.loop import READ, WRITE, Loop
 from ..net.pool import Pool
 from ..net.requests import RequestError, RequestReader, encode_response
-from .api import PendingReply, Reply, Routes
+from .api import ApiError, PendingReply, Reply, Routes, error_reply
 
 MAX_CONNECTIONS = 16  # at a time; the oldest is closed to make room for a new one
 IDLE_TIMEOUT_SECONDS = 30.0  # without input from the client
@@ -138,9 +138,12 @@
         while connection.reader.complete and connection.keep_alive and connection.pending_reply is None:
             request, connection.keep_alive = connection.reader.complete.popleft()
             self.metrics.add("control_calls")
-            result = self.routes.answer(
-                request.method.decode("ascii", "replace"), request.target.decode("ascii", "replace"), request.body
-            )
+            method, target = request.method.decode("ascii", "replace"), request.target.decode("ascii", "replace")
+            try:
+                result = self.routes.answer(method, target, request.body)
+            except Exception:  # the caller gets an answer, and later requests are served
+                self.loop.report_exception()
+                result = error_reply(ApiError(500, "path", f"{method} {target[:100]}: internal error, see the log"))
             if isinstance(result, PendingReply):
                 keep_alive, connection.pending_reply, connection.keep_alive = connection.keep_alive, result, True
                 result.on_reply = lambda reply, keep_alive=keep_alive: self._send_pending_reply(  # type: ignore[misc]
--- a/brackenpulley/net/loop.py
+++ b/brackenpulley/net/loop.py
@@ -202,7 +202,7 @@
                 try:
                     key.data(events)
                 except Exception:  # an error in one connection must not affect the others
-                    self._report_exception()
+                    self.report_exception()
         for _ in range(MAX_TIMERS_PER_ITERATION):
             if not self._heap or self._heap[0][0] > started_at:
                 break
@@ -222,9 +222,10 @@
         try:
             callback()
         except Exception:
-            self._report_exception()
+            self.report_exception()
 
-    def _report_exception(self) -> None:
+    def report_exception(self) -> None:
+        """Count and log the exception that is being handled."""
         self.metrics.add("faults")
         self.log.exception("fault: unhandled exception in an event loop callback")
 
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -274,9 +274,7 @@
             return 200, render_exposition(self.metrics, self.collect_gauges()), PROMETHEUS_CONTENT_TYPE
 
         def leave_service() -> tuple[int, bytes, bytes]:
-            self.drain.out_of_service = True
-            self.north.close_idle()
-            self.log.info("out of service")
+            self.leave_service()
             return 200, b"out of service\n", TEXT_CONTENT_TYPE
 
         def enter_service() -> tuple[int, bytes, bytes]:
@@ -291,6 +289,12 @@
             b"/control/in-service": {b"PUT": enter_service},
         }
 
+    def leave_service(self) -> None:
+        """Report not ready from now on and close idle connections; what was accepted is still served."""
+        self.drain.out_of_service = True
+        self.north.close_idle()
+        self.log.info("out of service")
+
     def collect_gauges(self) -> dict[str, int]:
         """Return the gauges that the console exposes beside the counters."""
         ejected = self.ingress.decision_module.servers.ejected
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -113,6 +113,39 @@
         assert (code, content["error"]["field"]) == (status, field)
 
 
+def test_drain_tells_the_front_at_once_and_finishes_what_was_accepted(tmp_path: Path) -> None:
+    """Guards against a drain call that is never answered, after which /ready still says yes until SIGTERM."""
+    with rig(operator=operator_options(tmp_path)) as r:
+        idle, busy = r.connect(), r.send_request(1)
+        _, server = r.accept_relay()
+        server.read_until(b"\r\n\r\n")
+        r.freeze_clock()
+        status, reply = call(r, tmp_path, "POST", "/v1/drain", {})
+        assert status == 200 and reply == {"draining": True, "held": 1}
+        probe = r.connect().send(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert probe.read_http()[0] == 503
+        status, reply = call(r, tmp_path, "GET", "/v1/ready")
+        assert (status, reply["error"]["text"]) == (503, "draining")
+        assert not call(r, tmp_path, "GET", "/v1/status")[1]["ready"]
+        assert idle.wait_closed()
+        server.send(OK)
+        status, head, _ = busy.read_http()
+        assert status == 200 and b"connection: close" in head.lower()
+
+
+def test_a_handler_that_raises_gets_an_answer_and_later_calls_are_served(tmp_path: Path) -> None:
+    """Guards against a fault in one route that leaves its caller without an answer, as the drain call did."""
+    running = Rig(operator=operator_options(tmp_path))
+    try:
+        running.daemon.control.routes.add("POST", "/v1/fault", lambda request: {}["missing"])
+        status, reply = call(running, tmp_path, "POST", "/v1/fault", {})
+        assert status == 500 and "internal error" in reply["error"]["text"]
+        assert running.count("faults") == 1 and running.count("control_faults") == 1
+        assert call(running, tmp_path, "GET", "/v1/ready")[0] == 200
+    finally:
+        running.close()
+
+
 def test_a_change_is_compared_by_revision_saved_and_restored(tmp_path: Path) -> None:
     with rig(operator=operator_options(tmp_path)) as r:
         assert call(r, tmp_path, "POST", "/v1/changes", plan_change(r, revision=2))[0] == 409
