--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import socket
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -14,13 +13,13 @@
 from ..bodies.body import Body, State
 from ..bodies.delivery import Delivery
 from ..bodies.memory import BodyMemory
-from ..bodies.pace import Pace
-from ..core.exchange import Answer, Exchange, South
+from ..core.exchange import Answer, South
 from ..core.ingress import Ingress
 from ..core.message import MessageError
 from ..metrics import Metrics
 from ..policy.drain import DrainState
 from . import sockets
+from .client_connection import ClientConnection
 from .http import DEFAULT_MAX_BODY_BYTES, append_body_slice
 from .loop import READ, WRITE, Loop, Timer
 from .pool import BUFFER_BYTES, Pool
@@ -51,71 +50,6 @@
 ACCEPT_PAUSE_SECONDS = 0.01  # if no connection can be evicted
 
 
-class ClientConnection:
-    """State of one client connection. `North` owns it, and `North.close` alone closes it.
-
-    | state       | `is_busy` | further attributes                                       | reads input                |
-    | ----------- | --------- | -------------------------------------------------------- | -------------------------- |
-    | idle        | no        | no partial request                                       | yes                        |
-    | receiving   | no        | `reader` holds a partial request                         | yes                        |
-    | in progress | yes       | `exchange`                                               | while the queue has room   |
-    | uploading   | yes       | also `request_body`, which is streamed                   | while the body has room    |
-    | responding  | yes       | `outgoing`, or `response_body` if streamed               | as in progress             |
-    | discarding  | yes       | `discard_until`: answered before the end of its request  | yes, and discards it       |
-    | closing     | yes       | `keep_alive` is false: half-closed after the response    | as in progress             |
-    | half-closed | yes       | `discard_until`, `is_unparsed`: sending side is shut     | yes, and discards it       |
-
-    Input that is no longer parsed (`is_unparsed`) is still read, so that the end of the connection is noticed in every
-    state. While reading is paused for lack of room, `North._check_peers` queries the socket instead. Every connection
-    that the ingress ends is half-closed first: a close with unread input is a reset, which can destroy the last
-    response.
-    """
-
-    __slots__ = (
-        "sock",
-        "reader",
-        "exchange",
-        "is_busy",
-        "keep_alive",
-        "outgoing",
-        "last_progress",
-        "delivery",
-        "is_reading",
-        "close_after_response",
-        "message_number",
-        "has_pipeline_overflow",
-        "pace",
-        "request_body",
-        "response_body",
-        "is_chunked",
-        "is_http10",
-        "discard_until",
-        "discarded_bytes",
-        "is_unparsed",
-    )
-
-    def __init__(self, sock: socket.socket, now: float, reader: RequestReader) -> None:
-        self.sock, self.reader = sock, reader
-        self.exchange: Exchange | None = None
-        self.is_busy = False  # a message is in progress or its response is not fully written
-        self.keep_alive = True
-        self.outgoing: deque[bytes | memoryview] = deque()  # response data that the socket has not accepted yet
-        self.last_progress = now  # when it became idle, or last wrote response data
-        self.delivery: Delivery | None = None  # of a response that the socket did not accept at once
-        self.pace = Pace(now)
-        self.is_reading = True
-        self.close_after_response = False
-        self.message_number = 0  # of the latest message, counted from 1
-        self.has_pipeline_overflow = False  # more than MAX_PIPELINED_MESSAGES were queued
-        self.request_body: Body | None = None  # streamed body of the message in progress
-        self.response_body: Body | None = None  # streamed body of its response
-        self.is_chunked = False  # framing of `response_body`
-        self.is_http10 = False  # of the message in progress
-        self.discard_until = 0.0  # input is read and discarded until then; 0 if it is not
-        self.discarded_bytes = 0
-        self.is_unparsed = False  # input is no longer parsed
-
-
 class North:
     """Accepts and serves client connections."""
 
