--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from brackenpulley.policy.brain import RATE_MAX, RATE_MIN, RateController
 from brackenpulley.policy.interface import ClassSpec
+from brackenpulley.policy.rate_control import RATE_MAX, RATE_MIN, RateController
 
 
 def make_loop(rate: float = 50.0, aim: float = 1.0) -> RateController:
