Benchmarks start an ingress, and read what it uses, in one place: benchmarks/daemon_process

Change: one module for these; the environment is now the same for all (without the program's own variables).

--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -29,9 +29,8 @@
 import structlog
 import xxhash
 
+from benchmarks.daemon_process import ROOT, find_free_ports, read_cpu_seconds
 from benchmarks.ledger_cost import Process
-from benchmarks.plan_changes import ROOT, find_free_ports
-from benchmarks.relay import usage
 from brackenpulley.bodies.memory import BodyMemory
 from brackenpulley.metrics import Metrics
 from brackenpulley.net.http import Payload
@@ -492,7 +491,7 @@
     cpu_seconds, megabytes = [0.0, 0.0], [0, 0]
     for turn in range(2 * rounds + 2):
         index = turn % 2
-        cpu_before, remaining = usage(pids[index]), [8]
+        cpu_before, remaining = read_cpu_seconds(pids[index]), [8]
 
         def done(client: Client, outcome: str, remaining: list[int] = remaining) -> None:
             remaining[0] -= 1
@@ -506,7 +505,7 @@
             trial.loop.run_once(0.01)
         time.sleep(0.02)  # the kernel accounts CPU time in ticks
         if turn > 1:
-            cpu_seconds[index] += usage(pids[index]) - cpu_before
+            cpu_seconds[index] += read_cpu_seconds(pids[index]) - cpu_before
             megabytes[index] += 32
     return [1000 * cpu_seconds[n] / megabytes[n] for n in (0, 1)]
 
--- a/benchmarks/capacity/kinds/processes.py
+++ b/benchmarks/capacity/kinds/processes.py
@@ -13,9 +13,9 @@
 
 import structlog
 
+from benchmarks.daemon_process import find_free_ports
 from benchmarks.fleet import Trial, measure_process
 from benchmarks.ledger_cost import Process
-from benchmarks.plan_changes import find_free_ports
 from benchmarks.relay import Closed, SimServer
 from brackenpulley.fleet.caller import Call
 from brackenpulley.metrics import Metrics
--- a/benchmarks/console.py
+++ b/benchmarks/console.py
@@ -21,8 +21,8 @@
 from typing import Any
 
 from benchmarks.bodies import Client, Plan, Trial
+from benchmarks.daemon_process import find_free_ports
 from benchmarks.ledger_cost import Process
-from benchmarks.plan_changes import find_free_ports
 from brackenpulley.net.loop import READ, Loop
 
 GAP, LONGEST, GRACE, THINK = 0.05, 1.0, 1.0, 0.4  # s
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -31,7 +31,7 @@
 from rich.console import Console
 from rich.progress import Progress
 
-from benchmarks.plan_changes import ROOT, find_free_ports
+from benchmarks.daemon_process import ROOT, find_free_ports, read_cpu_seconds, read_resident_kb
 from brackenpulley.control.client import ControlClient, ControlError
 from brackenpulley.fleet.caller import Call
 from brackenpulley.fleet.files import SharedConfig
@@ -46,7 +46,6 @@
 from brackenpulley.standins.settings import build_settings
 
 PROBE_INTERVAL_S = 0.25  # between readiness probes of the router
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 TARGET_UTILIZATION = 0.75  # fraction of the capacity of the warm servers
 # Cold start and overload of the sim servers as the wire protocol defines them, with shorter times than there.
 COLD_FRACTION = 0.17  # of the full rate, right after a start
@@ -565,11 +564,7 @@
 
 def measure_process(pid: int) -> tuple[float, int]:
     """Returns the CPU time in seconds that a process has used and its resident memory in KB."""
-    text = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    status = Path(f"/proc/{pid}/status").read_text()
-    return (int(text[11]) + int(text[12])) / CLOCK_TICKS_PER_S, next(
-        int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS")
-    )
+    return read_cpu_seconds(pid), read_resident_kb(pid)
 
 
 def measure_idle(instances: int, seconds: float) -> dict[str, Any]:
--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -11,9 +11,7 @@
 
 import argparse
 import json
-import os
 import random
-import subprocess
 import sys
 import tempfile
 import time
@@ -24,7 +22,7 @@
 from rich.console import Console
 from rich.progress import Progress
 
-from benchmarks.plan_changes import ROOT, find_free_ports
+from benchmarks.daemon_process import find_free_ports, read_cpu_seconds, read_resident_kb, start_daemon
 from brackenpulley.ledger import files
 from brackenpulley.ledger.store import Store
 from brackenpulley.ledger.tally import Entry, Tally, UsageKey
@@ -39,7 +37,6 @@
 MAX_COST_RATIO = 1.10  # CPU per message with the ledger to that without
 MAX_RECOVERY_S = 5.0
 MIN_ENTRIES_PER_SECOND = 20_000.0  # of verification and export
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Process:
@@ -71,32 +68,15 @@
         }
         (folder / f"{name}.json").write_text(json.dumps(config))
         (folder / f"{name}.toml").write_text(operator)
-        with open(folder / f"{name}.log", "wb") as log:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "brackenpulley",
-                    "serve",
-                    "--config",
-                    str(folder / f"{name}.json"),
-                    "--operator",
-                    str(folder / f"{name}.toml"),
-                ],
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-            )
+        self.process = start_daemon(folder / f"{name}.json", folder / f"{name}.toml", folder / f"{name}.log")
 
     def read_cpu_seconds(self) -> float:
         """Returns the CPU time in seconds that the daemon has used so far, user and system."""
-        text = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(text[11]) + int(text[12])) / CLOCK_TICKS_PER_S
+        return read_cpu_seconds(self.process.pid)
 
     def read_resident_kb(self) -> int:
         """Returns the resident memory in KB."""
-        text = Path(f"/proc/{self.process.pid}/status").read_text()
-        return next(int(line.split()[1]) for line in text.splitlines() if line.startswith("VmRSS"))
+        return read_resident_kb(self.process.pid)
 
 
 def measure_message_cost(seconds: float, rate: float, progress: Progress) -> dict[str, Any]:
--- a/benchmarks/plan_changes.py
+++ b/benchmarks/plan_changes.py
@@ -12,7 +12,6 @@
 
 import argparse
 import json
-import os
 import random
 import shutil
 import signal
@@ -28,6 +27,7 @@
 from rich.console import Console
 from rich.progress import Progress
 
+from benchmarks.daemon_process import find_free_ports, read_resident_kb, start_daemon
 from brackenpulley.control.client import ControlClient, ControlError
 from brackenpulley.ledger.store import Store
 from brackenpulley.metrics import Metrics
@@ -42,7 +42,6 @@
 from brackenpulley.standins.servers import Counter, Discovery, ReceivedRelay, SimServer
 from brackenpulley.standins.settings import PLANS, build_settings
 
-ROOT = Path(__file__).resolve().parent.parent
 INGRESS_COUNT = 3
 SERVER_COUNT = 4
 FIRM_COUNT = 12
@@ -80,24 +79,7 @@
 
     def start(self) -> None:
         """Starts the daemon."""
-        env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
-        with open(self.folder / "log", "ab") as log:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "brackenpulley",
-                    "serve",
-                    "--config",
-                    str(self.folder / "config.json"),
-                    "--operator",
-                    str(self.folder / "operator.toml"),
-                ],
-                cwd=ROOT,
-                env=env,
-                stdout=log,
-                stderr=log,
-            )
+        self.process = start_daemon(self.folder / "config.json", self.folder / "operator.toml", self.folder / "log")
 
     def is_ready(self) -> bool:
         """Tells whether the daemon answers on its control socket and is ready."""
@@ -126,11 +108,7 @@
     def read_memory_kb(self) -> int:
         """Returns the resident memory in KB, or 0 if the process has ended."""
         assert self.process is not None
-        try:
-            text = Path(f"/proc/{self.process.pid}/status").read_text()
-        except OSError:
-            return 0
-        return next((int(line.split()[1]) for line in text.splitlines() if line.startswith("VmRSS")), 0)
+        return read_resident_kb(self.process.pid)
 
 
 class Trial:
@@ -461,17 +439,6 @@
         self.loop.close()
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns that many loopback ports that were free a moment ago."""
-    import socket
-
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 def run_trial(
     seconds: float,
     has_leases: bool = True,
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -28,8 +28,8 @@
 import httptools
 import structlog
 
+from benchmarks.daemon_process import ROOT, find_free_ports, read_cpu_seconds
 from benchmarks.ledger_cost import Process
-from benchmarks.plan_changes import ROOT, find_free_ports
 from brackenpulley.metrics import Metrics
 from brackenpulley.net.loop import READ, Loop
 from brackenpulley.serve import wall_clock
@@ -140,11 +140,6 @@
             self._ask(n)
 
 
-def usage(pid: int) -> float:
-    text = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(text[11]) + int(text[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def compare(seconds: int) -> dict[str, Any]:
     """CPU a message of each, us, in turns of a second; the first of each warms up."""
     loop = Loop(wall_clock(), Metrics(), structlog.get_logger())
@@ -174,7 +169,7 @@
             used, count, good = [0.0, 0.0], [0, 0], [0, 0]
             for turn in range(2 * seconds + 2):
                 which = turn % 2
-                load, before = loads[which], usage(pids[which])
+                load, before = loads[which], read_cpu_seconds(pids[which])
                 answers, served = load.answers, load.good
                 load.start()
                 end = time.monotonic() + 1.0
@@ -184,7 +179,7 @@
                 while load.out:
                     loop.run_once(0.01)
                 if turn > 1:
-                    used[which] += usage(pids[which]) - before
+                    used[which] += read_cpu_seconds(pids[which]) - before
                     count[which] += load.answers - answers
                     good[which] += load.good - served
         finally:
--- a/benchmarks/scale/world.py
+++ b/benchmarks/scale/world.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 from collections import Counter as Tally
@@ -20,7 +19,8 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.scale.child import ROOT, Child, NullLogger, measure_process
+from benchmarks.daemon_process import start_daemon
+from benchmarks.scale.child import Child, NullLogger, measure_process
 from benchmarks.work_order import find_free_ports
 from brackenpulley.fleet.caller import Call
 from brackenpulley.metrics import Metrics
@@ -86,24 +86,7 @@
         if self.kind != "bare":
             tables.update(build_operator_tables(place, self.world.parts))
         (folder / "operator.toml").write_text(format_toml(tables))
-        env = {key: value for key, value in os.environ.items() if not key.startswith("BALANCER_")}
-        with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "brackenpulley",
-                    "serve",
-                    "--config",
-                    str(folder / "config.json"),
-                    "--operator",
-                    str(folder / "operator.toml"),
-                ],
-                cwd=ROOT,
-                env=env,
-                stdout=log,
-                stderr=log,
-            )
+        self.process = start_daemon(folder / "config.json", folder / "operator.toml", Path(self.log))
         self.started_at = time.monotonic()
         self._poll_ready()
 
--- a/benchmarks/work_order.py
+++ b/benchmarks/work_order.py
@@ -41,7 +41,7 @@
 
 import structlog
 
-from benchmarks.plan_changes import ROOT
+from benchmarks.daemon_process import read_cpu_seconds, read_resident_kb, start_daemon
 from brackenpulley.fleet.caller import Call
 from brackenpulley.metrics import Metrics
 from brackenpulley.net.loop import Loop
@@ -144,10 +144,7 @@
     def read_usage(self) -> tuple[float, int]:
         """Returns CPU seconds used so far and resident memory in KB."""
         assert self.popen is not None
-        text = Path(f"/proc/{self.popen.pid}/stat").read_text().rpartition(")")[2].split()
-        status = Path(f"/proc/{self.popen.pid}/status").read_text()
-        resident = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS"))
-        return (int(text[11]) + int(text[12])) / os.sysconf("SC_CLK_TCK"), resident
+        return read_cpu_seconds(self.popen.pid), read_resident_kb(self.popen.pid)
 
     def start(self, how: str = "kept") -> None:
         """Starts the process unless it runs; `how` is the state of its disk, kept or lost."""
@@ -156,23 +153,12 @@
         if how == "lost" and self.fleet.may_lose_disk(self):
             shutil.rmtree(self.folder / "log", ignore_errors=True)
         self.start_count += 1
-        with open(self.folder / "log.txt", "ab") as log:
-            self.popen = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "brackenpulley",
-                    "serve",
-                    "--config",
-                    str(self.folder / "config.json"),
-                    "--operator",
-                    str(self.folder / "operator.toml"),
-                ],
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-                env={**os.environ, "BRACKENPULLEY_CLOCK": repr(self.fleet.offset)},
-            )
+        self.popen = start_daemon(
+            self.folder / "config.json",
+            self.folder / "operator.toml",
+            self.folder / "log.txt",
+            BRACKENPULLEY_CLOCK=repr(self.fleet.offset),
+        )
         self.is_stopped = False
 
     def kill(self) -> None:
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from benchmarks.plan_changes import find_free_ports
+from benchmarks.daemon_process import find_free_ports
 from brackenpulley.address import ConfigError
 from brackenpulley.consensus.machine import Command, encode
 from brackenpulley.operator import decode, load
--- a/tests/test_plans_together.py
+++ b/tests/test_plans_together.py
@@ -12,8 +12,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.daemon_process import find_free_ports
 from benchmarks.ledger_cost import Process
-from benchmarks.plan_changes import find_free_ports
 from brackenpulley.core.exchange import RelayResult
 from brackenpulley.core.ingress import Ingress
 from brackenpulley.core.message import Message
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -13,8 +13,8 @@
 import pytest
 import structlog
 
+from benchmarks.daemon_process import find_free_ports
 from benchmarks.ledger_cost import Process
-from benchmarks.plan_changes import find_free_ports
 from brackenpulley.metrics import Metrics
 from brackenpulley.net.loop import Loop
 from brackenpulley.serve import wall_clock
