A host is clear for work only once nothing streams from it or to it

Cause: DaemonAdapter.count_relays asked the decision module's account of relays, which is of work at servers: a message leaves it when its answer begins to flow and is not in it while its body still comes. At the ingress's own host an exchange ends when its server has given all, though the client may not have read it. Ruled out: permits and log, which wait for each ingress's word.

Change: exchanges whose relay to the host's servers has not ended are counted; at the own host also clients with output left.

--- a/brackenpulley/maintenance/agent.py
+++ b/brackenpulley/maintenance/agent.py
@@ -30,13 +30,13 @@
         """Give no new work to these servers; all others may get work."""
 
     def count_relays(self, servers: list[str]) -> int:
-        """Return the number of relays in flight to these servers."""
+        """Return the number of relays to these servers that have not ended, streamed ones among them."""
 
     def set_draining(self, on: bool) -> None:
         """Take the ingress itself out of service, or back into service."""
 
     def count_messages(self) -> int:
-        """Return the number of messages that the ingress has not answered yet."""
+        """Return the number of messages that are not answered, or whose answer is not delivered yet."""
 
     def list_published_cordons(self) -> frozenset[str]:
         """Return the servers that other ingresses publish as out of service."""
--- a/brackenpulley/maintenance/service.py
+++ b/brackenpulley/maintenance/service.py
@@ -50,9 +50,12 @@
         self.daemon.log.info("maintenance: servers out of service changed", away=",".join(sorted(servers)) or "none")
 
     def count_relays(self, servers: list[str]) -> int:
-        """Return the number of relays in flight to these servers."""
-        known = self.daemon.ingress.decision_module.servers
-        return sum(len(known[name].relays) for name in servers if name in known)
+        """Return the number of relays to these servers that have not ended.
+
+        The decision module's account would leave out a message whose answer streams or whose body is still received.
+        """
+        names = frozenset(servers)
+        return sum(exchange.server in names for exchange in self.daemon.ingress.exchanges.values())
 
     def set_draining(self, on: bool) -> None:
         """Take the ingress itself out of service, or back into service."""
@@ -62,8 +65,9 @@
         self.daemon.log.info("maintenance: draining of this ingress changed", drains=on)
 
     def count_messages(self) -> int:
-        """Return the number of messages that the ingress has not answered yet."""
-        return len(self.daemon.ingress.exchanges)
+        """Return the number of messages that are not answered, or whose answer is not delivered yet."""
+        unread = sum(bool(client.outgoing) or client.is_busy for client in self.daemon.north.clients)
+        return max(len(self.daemon.ingress.exchanges), unread)
 
     def update_average(self) -> None:
         """Update the moving average of relays in flight."""
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import os
 import random
 import socket
+import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -34,7 +37,8 @@
 from brackenpulley.simulation.script import draw_faults, parse
 from brackenpulley.simulation.world import Host, StandaloneParts, World
 
-from .rig import rig
+from .rig import Rig, rig
+from .test_control import call
 
 SERVERS = {f"s{n}": Server("ab"[n % 2], "m1" if n < 4 else "m2", 1.0, True) for n in range(6)}
 FLEET = FleetState(SERVERS, 4.0, [True] * 4, 2)
@@ -75,8 +79,8 @@
             lambda: self.apply(Finish("h", self.permits.jobs["h"].token)),
             lambda: self.step(9.0, carried=["h"]),
         ]
-        for call in calls[:call_count]:
-            call()
+        for step in calls[:call_count]:
+            step()
         if state == "stuck":
             self.step(31.0)
         if state == "withdrawn":
@@ -591,23 +595,117 @@
 
 
 def test_daemon_cordons_a_server_in_the_turn_that_applies_the_permit(tmp_path: Path) -> None:
+    with rig(2, operator=make_operator(tmp_path)) as r:
+        service = r.daemon.maintenance
+        r.run_until(lambda: bool(service.agent.has_entered))
+        service.propose(Ask("h", "ann", ["s-0"], zone="z"), lambda answer: None, 5.0)
+        r.run_until(lambda: "s-0" in service.permits.list_cordoned())
+        assert not r.daemon.inventory.is_usable("s-0") and r.daemon.inventory.is_usable("s-1")
+
+
+HEAD_OF_LONG_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+HEAD_OF_LONG_BODY = (
+    b"POST /a/0000000000000001 HTTP/1.1\r\nHost: h\r\nX-Request-ID: 0000000000000001\r\nX-Priority-Class: a\r\n"
+    b"X-Tariff: p\r\nX-Timeout: 9000m\r\nContent-Length: %d\r\n\r\n"
+)
+LONG_BYTES = 3_000_000
+
+
+def make_operator(tmp_path: Path) -> dict[str, Any]:
+    """Settings of a single voter with maintenance and a control socket."""
     # An address of its own, so that no other process takes the port.
     host = f"127.{20 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}.1"
     with socket.create_server((host, 0)) as free:
         at = f"{host}:{free.getsockname()[1]}"
     (tmp_path / "keys").write_text(base64.b64encode(b"m" * 32).decode() + "\n")
     (tmp_path / "keys").chmod(0o600)
-    operator = {
+    return {
+        "control": {"listen": f"unix:{tmp_path}/c"},
         "members": {"fleet": "f", "listen": at, "seeds": [], "keys": str(tmp_path / "keys")},
         "consensus": {"path": str(tmp_path / "log"), "voters": {"n0": at}},
         "maintenance": {"out": 1, "zone": 1, "reserve": 0.0, "settle_s": 1.0, "late_s": 60.0},
     }
-    with rig(2, operator=operator) as r:
-        service = r.daemon.maintenance
-        r.run_until(lambda: bool(service.agent.has_entered))
-        service.propose(Ask("h", "ann", ["s-0"], zone="z"), lambda answer: None, 5.0)
-        r.run_until(lambda: "s-0" in service.permits.list_cordoned())
-        assert not r.daemon.inventory.is_usable("s-0") and r.daemon.inventory.is_usable("s-1")
+
+
+def ask_for(r: Rig, tmp_path: Path, body: dict[str, Any]) -> Callable[[], dict[str, Any]]:
+    """Ask for a host and wait until it is being cleared; return what reads its state."""
+
+    def read() -> dict[str, Any]:
+        return dict(call(r, tmp_path, "GET", "/v1/work/host")[1])
+
+    assert call(r, tmp_path, "POST", "/v1/work", {"id": "host", "by": "ann", "zone": "z", **body})[0] == 200
+    r.run_until(lambda: read()["state"] in ("clearing", "clear"))
+    return read
+
+
+def hold_for_looks(r: Rig, read: Callable[[], dict[str, Any]], seconds: float = 1.5) -> None:
+    """Check that the host stays unclear for that long, several looks of the agent."""
+    end = time.monotonic() + seconds
+    r.run_until(lambda: time.monotonic() > end or read()["state"] != "clearing")
+    assert read()["state"] == "clearing"
+
+
+def wait_until_clear(r: Rig, tmp_path: Path, read: Callable[[], dict[str, Any]]) -> None:
+    """Check that the host is clear within 1 s, and that work may begin then."""
+    end = time.monotonic() + 1.0
+    r.run_until(lambda: read()["state"] == "clear" or time.monotonic() > end)
+    assert read()["state"] == "clear"
+    assert call(r, tmp_path, "POST", "/v1/work/host/begin", {"token": read()["token"]})[0] == 200
+
+
+@pytest.mark.parametrize("what", ["an answer streams", "a body streams"])
+def test_a_host_is_clear_only_once_nothing_streams_from_it_or_to_it(tmp_path: Path, what: str) -> None:
+    """Guards against a machine that is taken away while an answer flows from it or a body still goes to it."""
+    with rig(2, operator=make_operator(tmp_path)) as r:
+        r.run_until(lambda: bool(r.daemon.maintenance.agent.has_entered))
+        if what == "an answer streams":
+            client = r.send_request(1)
+            name, server = r.accept_relay()
+            server.read_http()
+            server.send(HEAD_OF_LONG_ANSWER % LONG_BYTES + b"x" * 100_000)
+            unsent, source = LONG_BYTES - 100_000, server
+        else:
+            client = r.connect().send(HEAD_OF_LONG_BODY % LONG_BYTES + b"x" * 100_000)
+            name, server = r.accept_relay()
+            server.read_until(b"\r\n\r\n")
+            unsent, source = LONG_BYTES - 100_000, client
+        read = ask_for(r, tmp_path, {"servers": [name]})
+        hold_for_looks(r, read)
+        assert call(r, tmp_path, "POST", "/v1/work/host/begin", {"token": read()["token"]})[0] == 409
+        taken = len(client.received.partition(b"\r\n\r\n")[2]) if source is server else len(server.received)
+        sink = client if source is server else server
+        while taken < LONG_BYTES:
+            with contextlib.suppress(BlockingIOError):
+                unsent -= source.sock.send(b"x" * min(unsent, 65536)) if unsent else 0
+            r.run_once()
+            before = len(sink.received)
+            sink.receive()
+            taken += len(sink.received) - before
+        if source is client:
+            server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            assert client.read_http()[0] == 200
+        wait_until_clear(r, tmp_path, read)
+
+
+def test_the_host_of_an_ingress_is_clear_only_once_its_clients_have_their_answers(tmp_path: Path) -> None:
+    """Guards the same at the ingress's own host: the server gave all of an answer, and its client has not read it."""
+    with rig(2, operator=make_operator(tmp_path)) as r:
+        r.run_until(lambda: bool(r.daemon.maintenance.agent.has_entered))
+        client = r.send_request(1)
+        _, server = r.accept_relay()
+        (north_client,) = r.daemon.north.clients
+        north_client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        server.read_http()
+        size = 200_000  # fits into what the ingress holds of one answer
+        server.send(HEAD_OF_LONG_ANSWER % size + b"x" * size)
+        r.run_until(lambda: not r.daemon.ingress.exchanges)
+        assert north_client.outgoing or north_client.response_body is not None
+        # The only ingress is never taken out, so the count that its word rests on is asked for.
+        adapter = r.daemon.maintenance.adapter
+        assert adapter.count_messages() == 1
+        assert len(client.read_http()[2]) == size
+        r.run_until(lambda: adapter.count_messages() == 0)
 
 
 def test_unreachable_ingress_delays_a_machine_and_is_named() -> None:
