--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -15,8 +15,8 @@
 
 import pytest
 
+from benchmarks.daemon_process import ROOT
 from benchmarks.fleet import Trial, run_cold_start, run_trial
-from benchmarks.plan_changes import ROOT
 from brackenpulley.control.client import ControlClient, ControlError
 from brackenpulley.fleet.files import load_state
 from brackenpulley.fleet.notify import parse_fields
