A stop that is announced keeps idle connections until SIGTERM, and the drain call answers 204

Change: DrainState knows a stop that is announced: /ready says no and each answer closes its connection, and idle connections are closed by SIGTERM, out of service or maintenance alone.

--- a/brackenpulley/control/api.py
+++ b/brackenpulley/control/api.py
@@ -27,6 +27,9 @@
         self.status, self.field, self.text, self.after = status, field, text, after
 
 
+NO_CONTENT = 204  # status of a reply without a body
+
+
 @dataclass(slots=True)
 class Request:
     """A request to a route: method, path, query parameters and undecoded body."""
@@ -127,6 +130,8 @@
             if isinstance(answer, PendingReply):
                 return answer if answer.reply is None else answer.reply
             status, content = answer if isinstance(answer, tuple) else (200, answer)
+            if status == NO_CONTENT:
+                return Reply(status, b"")
             return Reply(status, msgspec.json.encode(content) + b"\n")
         except ApiError as error:
             return error_reply(error)
@@ -672,9 +677,9 @@
         return {"ready": True}
 
     def drain(request: Request) -> Any:
-        """Takes the ingress out of service, as before SIGTERM; what was accepted is still served."""
-        daemon.leave_service()
-        return {"draining": True, "held": len(daemon.ingress.exchanges)}
+        """Announces SIGTERM: not ready from now on; messages are still served."""
+        daemon.announce_stop()
+        return NO_CONTENT, None
 
     routes.add("GET", "/v1/live", lambda request: daemon.health.status() if daemon.health is not None else {})
     routes.add("GET", "/v1/ready", ready)
--- a/brackenpulley/control/client.py
+++ b/brackenpulley/control/client.py
@@ -53,7 +53,7 @@
         self.name = address
 
     def call(self, method: str, path: str, body: Any = None) -> Any:
-        """Sends one request and returns the decoded JSON response.
+        """Sends one request and returns the decoded JSON response, or None for one without content.
 
         `body` is sent as JSON unless it is None. Raises ControlError where no response arrives, where it is not JSON,
         and where its status is 400 or higher.
@@ -73,6 +73,8 @@
             raise ControlError(0, "control", f"{self.name}: {error or type(error).__name__}") from None
         finally:
             connection.close()
+        if status == http.HTTPStatus.NO_CONTENT:
+            return None
         try:
             content = json.loads(data)
         except ValueError:
--- a/brackenpulley/control/server.py
+++ b/brackenpulley/control/server.py
@@ -16,8 +16,8 @@
 from ..net import sockets
 from ..net.loop import READ, WRITE, Loop
 from ..net.pool import Pool
-from ..net.requests import RequestError, RequestReader, encode_response
-from .api import ApiError, PendingReply, Reply, Routes, error_reply
+from ..net.requests import RequestError, RequestReader, encode_head, encode_response
+from .api import NO_CONTENT, ApiError, PendingReply, Reply, Routes, error_reply
 
 MAX_CONNECTIONS = 16  # at a time; the oldest is closed to make room for a new one
 IDLE_TIMEOUT_SECONDS = 30.0  # without input from the client
@@ -155,6 +155,9 @@
     def _add_reply(self, connection: Connection, reply: Reply) -> None:
         if reply.status >= 400:
             self.metrics.add("control_faults")
+        if reply.status == NO_CONTENT:  # ends with its head, and names no length
+            connection.output += encode_head(reply.status, b"", connection.keep_alive)
+            return
         connection.output += encode_response(reply.status, reply.body, connection.keep_alive, reply.after, JSON_HEADERS)
 
     def _send_pending_reply(self, connection: Connection, reply: Reply, keep_alive: bool) -> None:
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -637,7 +637,7 @@
                 and not client.reader.is_partial
                 and not self._has_unread_input(client)
                 and (
-                    self.is_draining
+                    self.drain.closes_idle
                     or stalled_for > (IDLE_TIMEOUT_SECONDS if client.message_number else FIRST_MESSAGE_TIMEOUT_SECONDS)
                 )
             ):
--- a/brackenpulley/policy/drain.py
+++ b/brackenpulley/policy/drain.py
@@ -6,18 +6,20 @@
 
 
 class DrainState:
-    """In service, out of service (by an operator or for maintenance) or shutting down.
+    """In service, out of service (by an operator or for maintenance), about to be stopped, or shutting down.
 
     The reasons to drain are independent; the ingress is in service when none of them holds. While it drains, /ready
-    reports 503, each answer closes its connection, idle connections are closed, and messages that were accepted are
-    still served. Shutting down is final.
+    reports 503, each answer closes its connection, and messages that were accepted are still served. Idle connections
+    are closed too, but not for a stop that is only announced: until the load balancer in front has noticed, clients
+    still use them, and a message that meets a close has no answer. Shutting down is final.
     """
 
-    __slots__ = ("out_of_service", "out_for_maintenance", "is_ending", "has_opened")
+    __slots__ = ("out_of_service", "out_for_maintenance", "stop_announced", "is_ending", "has_opened")
 
     def __init__(self) -> None:
         self.out_of_service = False  # by an operator
         self.out_for_maintenance = False  # its host is out for maintenance agreed with the other ingresses
+        self.stop_announced = False  # by the supervisor: SIGTERM follows after its notice period
         self.is_ending = False  # SIGTERM was received
         self.has_opened = False  # it has been able to serve at least once
 
@@ -33,7 +35,12 @@
 
     @property
     def is_draining(self) -> bool:
-        """No new work is wanted: answers close their connections and idle connections are closed."""
+        """No new work is wanted: answers close their connections."""
+        return self.stop_announced or self.closes_idle
+
+    @property
+    def closes_idle(self) -> bool:
+        """Idle connections are closed as well."""
         return self.is_ending or self.out_of_service or self.out_for_maintenance
 
     def is_ready(self, is_able: bool) -> bool:
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -295,6 +295,11 @@
         self.north.close_idle()
         self.log.info("out of service")
 
+    def announce_stop(self) -> None:
+        """Report not ready from now on, so that the load balancer in front notices before SIGTERM comes."""
+        self.drain.stop_announced = True
+        self.log.info("stop announced")
+
     def collect_gauges(self) -> dict[str, int]:
         """Return the gauges that the console exposes beside the counters."""
         ejected = self.ingress.decision_module.servers.ejected
--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -18,12 +18,15 @@
 from benchmarks.daemon_process import ROOT
 from benchmarks.fleet import Trial, run_cold_start, run_trial
 from brackenpulley.control.client import ControlClient, ControlError
+from brackenpulley.fleet.caller import Call
 from brackenpulley.fleet.files import load_state
 from brackenpulley.fleet.notify import parse_fields
 from brackenpulley.fleet.process import find_processes
 from brackenpulley.serve import wall_clock
 from brackenpulley.standins.clients import Firm
 
+NOTICE_SECONDS = 1.0  # stop.notice_s of the trial's fleet file
+
 
 @pytest.fixture
 def make_trial() -> Iterator[Callable[..., Trial]]:
@@ -98,6 +101,30 @@
     fleet.wait_until(lambda s: [r["sharing"] for r in s["places"]] == [3, 3, 3], 30, "shares narrowed")
 
 
+@pytest.mark.parametrize("how", ["restart", "stop"])
+def test_a_front_has_its_notice_before_an_instance_takes_no_more(make_trial: Callable[..., Trial], how: str) -> None:
+    """Guards against an instance whose /ready says yes until SIGTERM: its front has 0.5 s instead of the notice."""
+    fleet = make_trial(2)
+    fleet.start_supervisor()
+    fleet.wait_all_ready(2, 30, "start")
+    answers: list[tuple[float, int]] = []  # time, and status of /ready; 0 where nothing answers
+
+    def record(status: int, body: bytes) -> None:
+        answers.append((time.monotonic(), status))
+
+    def probe() -> None:
+        Call(fleet.loop, fleet.addresses[1], "GET", "/ready", b"", 0.5, record)
+        fleet.loop.call_in(0.05, probe)
+
+    probe()
+    assert command(fleet, how, "--instances", "1").returncode == 0
+    first_no = next(at for at, status in answers if status == 503)
+    gone = next(at for at, status in answers if status == 0)
+    # The notice, and the 0.5 s for which new connections are accepted after SIGTERM; two probes of slack.
+    assert gone - first_no >= NOTICE_SECONDS + 0.5 - 0.1
+    assert all(status == 503 for at, status in answers if first_no < at < gone)
+
+
 def test_an_invalid_file_changes_no_instance_and_a_valid_one_changes_all(make_trial: Callable[..., Trial]) -> None:
     fleet = make_trial(2, watchdog=30.0)  # longer than the reload timeout
     fleet.start_supervisor()
