--- a/review/harness2/platform.py
+++ b/review/harness2/platform.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from .http import Message, read_message
@@ -138,13 +137,10 @@
     def __init__(self, record: Record) -> None:
         super().__init__()
         self.record, self.events = record, dict[str, dict[str, Any]]()
-        self.take: Callable[[], Awaitable[bool]] | None = None  # awaited before a batch is taken; False drops it
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         while (request := await read_message(reader)) is not None:
-            if self.take is not None and not await self.take():
-                return
             for event in json.loads(request.body):
                 self.record.note("billed", id=event["id"], firm=event["subject"], units=event["data"]["units"])
                 self.events.setdefault(event["id"], event)
