Keep at most ten requests of a connection, however many come in one read

Cause: one read takes up to 64 KiB and RequestReader parsed and kept all of it, some 1.4 KB of objects for 200 bytes of request; North looked at the number only afterwards. Ruled out: bodies (none), answers (120 bytes each, sent as made).

Change: the reader keeps ten and counts the rest; each of those is answered 400 in its turn, as before.

--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -38,6 +38,9 @@
 MAX_DISCARDED_BYTES, MAX_DISCARDED_UNPARSED_BYTES = 64 << 20, 1 << 20
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED_MESSAGES = 8  # queued behind the one in progress; beyond that all queued ones are rejected
+# Kept of what one read brings: one to be taken up, those queued behind it, and one that shows that they are too many.
+MAX_QUEUED_REQUESTS = MAX_PIPELINED_MESSAGES + 2
+PIPELINE_OVERFLOW_TEXT = f"more than {MAX_PIPELINED_MESSAGES} messages at a time on a connection"
 MAX_QUEUED_BODY_BYTES = 1 << 16  # of pipelined messages; reading pauses above it
 PEER_CHECK_INTERVAL_SECONDS = 0.05  # how often connections whose reading is paused are checked for a closed peer
 LINGERING_DIVISOR = 8  # one in eight connections is reserved for half-closed ones
@@ -126,7 +129,8 @@
                         self._pause_accepting()
                         return
                 continue
-            client = ClientConnection(sock, self.loop.clock(), RequestReader(self.shares, self.max_body_bytes))
+            reader = RequestReader(self.shares, self.max_body_bytes, MAX_QUEUED_REQUESTS)
+            client = ClientConnection(sock, self.loop.clock(), reader)
             self.clients[client] = self.unproven[client] = None
             self.metrics.add("accepted")
             self._trim_half_closed()
@@ -333,7 +337,11 @@
 
     def _start_next_message(self, client: ClientConnection) -> None:
         """Take up the next queued message; the previous one has been answered."""
-        if client not in self.clients or client.is_busy or not client.reader.complete:
+        if client not in self.clients or client.is_busy:
+            return
+        if not client.reader.complete:
+            if client.reader.unqueued_count:
+                self._reject_unqueued(client)
             return
         payload, keep_alive = client.reader.complete.popleft()
         if client.reader.complete:
@@ -353,7 +361,7 @@
         number = client.message_number
         try:
             if client.has_pipeline_overflow:
-                raise MessageError(f"more than {MAX_PIPELINED_MESSAGES} messages at a time on a connection")
+                raise MessageError(PIPELINE_OVERFLOW_TEXT)
             message = decode_message(payload)
             if stream is not None:
                 message.is_body_pending, message.can_resend = stream.is_open, stream.can_restart
@@ -365,7 +373,8 @@
             )
         except MessageError as error:
             self.metrics.add("malformed")
-            client.keep_alive = bool(client.reader.complete)  # a client that repeats it has to reconnect
+            # A client that repeats it has to reconnect.
+            client.keep_alive = bool(client.reader.complete or client.reader.unqueued_count)
             self._respond(client, 400, str(error).encode("ascii", "replace"))
             return
         if exchange is None:
@@ -375,6 +384,13 @@
             if payload.expects_continue and stream is not None and stream.is_open and not stream.size:
                 self._send(client, CONTINUE_RESPONSE)
 
+    def _reject_unqueued(self, client: ClientConnection) -> None:
+        """Respond to a request that came when too many were queued and was not kept."""
+        client.reader.unqueued_count -= 1
+        client.is_busy, client.keep_alive = True, client.reader.unqueued_count > 0
+        self.metrics.add("malformed")
+        self._respond(client, 400, PIPELINE_OVERFLOW_TEXT.encode())
+
     def _on_body_space(self, client: ClientConnection) -> None:
         """Resume reading: the streamed body has room again, or is no longer wanted."""
         if client in self.clients:
@@ -404,7 +420,9 @@
         if client.is_chunked:
             framing = b"Transfer-Encoding: chunked\r\n"
         client.keep_alive = (
-            client.keep_alive and (bool(client.reader.complete) or not self.is_draining) and bool(framing)
+            client.keep_alive
+            and (bool(client.reader.complete or client.reader.unqueued_count) or not self.is_draining)
+            and bool(framing)
         )
         client.last_progress = self.loop.clock()
         client.delivery = Delivery(client.last_progress, sockets.acknowledged_bytes(client.sock))
@@ -459,7 +477,9 @@
         # Without 100 Continue a client may still send the body or not, so what follows could not be told from the next
         # message: the connection is not kept. While draining, messages that were already read are still served.
         client.keep_alive = (
-            client.keep_alive and (bool(client.reader.complete) or not self.is_draining) and not is_body_unrequested
+            client.keep_alive
+            and (bool(client.reader.complete or client.reader.unqueued_count) or not self.is_draining)
+            and not is_body_unrequested
         )
         self._send(client, encode_response(status, body, client.keep_alive, retry_after, headers))
         if client.outgoing:
@@ -498,7 +518,7 @@
         client.is_busy, client.last_progress = False, self.loop.clock()
         if not client.keep_alive or client.close_after_response:
             self._half_close(client)
-        elif client.reader.complete:
+        elif client.reader.complete or client.reader.unqueued_count:
             self.loop.call_soon(lambda: self._start_next_message(client))
         elif client.is_unparsed:
             self._half_close(client)
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections import deque
 
 import httptools
@@ -59,11 +60,21 @@
     A request is appended to `complete` once its last byte has arrived. If its body exceeds MAX_BUFFERED_BODY_BYTES and
     `shares` were given, it is appended as soon as that is known; its body then arrives through the payload's `stream`,
     which is also `open_body` until it ends.
+
+    At most `max_queued` requests are kept in `complete`. One that ends while it is full is only counted,
+    in `unqueued_count`, however many arrive in one read.
     """
 
-    def __init__(self, shares: BodyMemory | None = None, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        shares: BodyMemory | None = None,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        max_queued: int = sys.maxsize,
+    ) -> None:
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.complete: deque[tuple[Payload, bool]] = deque()  # with whether the connection persists after the request
+        self.unqueued_count = 0
+        self._max_queued = max_queued
         self.open_body: Body | None = None
         self.awaits_continue = False
         self._shares, self._max_body_bytes = (
@@ -102,6 +113,11 @@
             if self._fed_bytes > (MAX_WIRE_BYTES if self.has_headers else MAX_HEADER_BYTES):
                 raise RequestError(413 if self.has_headers else 431)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request is kept until one of `complete` is taken."""
+        return len(self.complete) >= self._max_queued
+
     def count_queued_bytes(self) -> int:
         """Return the number of body bytes in the complete requests that are still queued."""
         return sum(len(payload.body) for payload, _ in self.complete)
@@ -159,7 +175,12 @@
                 raise RequestError(400)
             if name == b"expect":
                 self.awaits_continue = True
-        if self.awaits_continue and self._shares is not None and (codings or self._content_length > 0):
+        if (
+            self.awaits_continue
+            and self._shares is not None
+            and (codings or self._content_length > 0)
+            and not self.is_full
+        ):
             self._start_streaming(expects_continue=True)  # the message is decided on before its body is requested
 
     def on_body(self, part: bytes) -> None:
@@ -171,6 +192,8 @@
             self._fed_bytes = 0  # only the bytes between body data are limited: chunk extensions and trailers
             self.open_body.put(part)
             return
+        if self.is_full:
+            return
         self._body_parts.append(part)
         if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
             self._start_streaming()
@@ -195,6 +218,9 @@
 
     def _queue(self, payload: Payload) -> None:
         assert self._parser is not None
+        if len(self.complete) >= self._max_queued:
+            self.unqueued_count += 1
+            return
         keep_alive = self._parser.should_keep_alive()
         if self._framing_headers or not keep_alive:  # otherwise it is HTTP/1.1, which persists by default
             payload.is_http10 = self._parser.get_http_version() == "1.0"
