Answer a request that is read together with the end of a refused long body

Cause: North._on_readable chose the limit of discarded input after the read, by reader.has_headers, which the read that ends the body has cleared; the whole body was held against 1 MB, meant for input that is not parsed. Ruled out: quota, pace, reset.

Change: only a body that is still being read when the read is over counts as discarded; other reads are handled as usual.

Before: 10 of the 16 cases of test_a_request_read_with_the_end_of_a_refused_body_is_answered failed. After: 16 pass.

--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -240,10 +240,12 @@
         if not count:
             self.close(client)
             return
-        if client.discard_until or client.is_unparsed:
+        reader = client.reader
+        # The read that brings the end of a discarded body may bring the next messages too: those are not discarded.
+        if client.is_unparsed or client.discard_until and reader.open_body is client.request_body:
             client.discarded_bytes += count
             if error_status or client.discarded_bytes > (
-                MAX_DISCARDED_BYTES if client.reader.has_headers else MAX_DISCARDED_UNPARSED_BYTES
+                MAX_DISCARDED_BYTES if reader.has_headers else MAX_DISCARDED_UNPARSED_BYTES
             ):
                 if client.discard_until:
                     self.close(client)
@@ -252,11 +254,12 @@
                     self._update_interest(client)
                 return
         if error_status:
+            if client.discard_until:
+                self._on_request_body_complete(client)
             self._reject_malformed(client, error_status)
             return
         if client.is_unparsed:
             return
-        reader = client.reader
         if reader.awaits_continue:
             self._request_next_body(client)
         if client.message_number and (not reader.is_partial or not was_partial):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -21,7 +21,7 @@
 from brackenpulley.bodies.memory import BodyMemory
 from brackenpulley.bodies.pace import Pace
 from brackenpulley.bodies.spool import SpoolFolder
-from brackenpulley.net import north
+from brackenpulley.net import north, sockets
 from brackenpulley.net.answers import STREAM_MIN_BYTES, ResponseReader
 from brackenpulley.net.http import MAX_BUFFERED_BODY_BYTES
 from brackenpulley.net.requests import RequestReader
@@ -565,6 +565,35 @@
         assert client.read_http()[0] == 503 and not harness.daemon.shares.open_bodies
 
 
+@pytest.mark.parametrize("form", ["length", "chunked"])
+@pytest.mark.parametrize("size", [700_000, 3_000_000])
+@pytest.mark.parametrize("next_bytes", ["whole", "part", "several", "long body"])
+def test_a_request_read_with_the_end_of_a_refused_body_is_answered(form: str, size: int, next_bytes: str) -> None:
+    """Guards against review case 6: the limit of unparsed input was applied to the body that the read had just ended."""
+    ready = b"GET /ready HTTP/1.1\r\n\r\n"
+    with rig(servers=0) as harness:
+        body = frame(noise(size), form, 60_000).partition(b"\r\n\r\n")[2]
+        head = post(size) if form == "length" else post(0).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        client = harness.connect().send(head + body[:100_000])
+        assert client.read_http()[0] == 429
+        client.send(body[100_000:-6_000])
+        connection = next(iter(harness.daemon.north.clients))
+        harness.run_until(lambda: sockets.peek(connection.sock) is None)
+        following = {
+            "whole": ready,
+            "part": ready[:10],
+            "several": 3 * ready,
+            "long body": ready + post(300_000) + noise(100_000),
+        }[next_bytes]
+        client.send(body[-6_000:] + following)
+        if next_bytes == "part":
+            harness.run_until(lambda: connection.reader.is_partial and not connection.discard_until)
+            client.send(ready[10:])
+        statuses = [client.read_http()[0] for _ in range({"several": 3, "long body": 2}.get(next_bytes, 1))]
+        assert statuses == {"several": [503] * 3, "long body": [503, 429]}.get(next_bytes, [503])
+        assert not harness.count("malformed") and harness.count("closed") == 0
+
+
 def test_what_still_flows_after_a_refusal_is_read_for_as_long_as_it_flows() -> None:
     """Guards against a fixed time to read the rest: 11 clients still sending 500 kB/s were cut off 2 s after a 429."""
     with rig(servers=0) as harness:
