Do not count the end of a body as a part of the next request's head

Cause: RequestReader.feed asked whether a read had queued a request to tell whether all of it belongs to an unfinished one. A streamed request is queued at its beginning, so the read that ends it queues none.

Change: the reader counts ended requests instead.

Before: both cases of test_a_request_in_pieces_behind_a_refused_body_is_not_taken_for_a_long_head failed with 431.

--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -74,6 +74,7 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.complete: deque[tuple[Payload, bool]] = deque()  # with whether the connection persists after the request
         self.unqueued_count = 0
+        self._ended_count = 0  # requests whose last byte has arrived
         self._max_queued = max_queued
         self.open_body: Body | None = None
         self.awaits_continue = False
@@ -96,7 +97,7 @@
     def feed(self, data: memoryview) -> None:
         """Parse received bytes. Raises RequestError; requests that ended before the error are in `complete`."""
         assert self._parser is not None
-        complete_before = len(self.complete)
+        ended_before = self._ended_count
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -106,9 +107,9 @@
             raise RequestError(cause.status if isinstance(cause, RequestError) else 400) from None
         except httptools.HttpParserError:
             raise RequestError(400) from None
-        if self.is_partial and len(self.complete) == complete_before:
+        if self.is_partial and self._ended_count == ended_before:
             # httptools buffers an unfinished header or trailer internally, so the bytes fed to it are counted here.
-            # Data that also completes a previous request is not counted: most of it may be that request's body.
+            # Data that also ends a previous request is not counted: most of it may be that request's body.
             self._fed_bytes += len(data)
             if self._fed_bytes > (MAX_WIRE_BYTES if self.has_headers else MAX_HEADER_BYTES):
                 raise RequestError(413 if self.has_headers else 431)
@@ -230,6 +231,7 @@
     def on_message_complete(self) -> None:
         """Queue the request or end its stream (callback of httptools)."""
         assert self._parser is not None
+        self._ended_count += 1
         if self.open_body is not None:
             body, self.open_body = self.open_body, None
             self._clear()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -569,7 +569,7 @@
 @pytest.mark.parametrize("size", [700_000, 3_000_000])
 @pytest.mark.parametrize("next_bytes", ["whole", "part", "several", "long body"])
 def test_a_request_read_with_the_end_of_a_refused_body_is_answered(form: str, size: int, next_bytes: str) -> None:
-    """Guards against review case 6: the limit of unparsed input was applied to the body that the read had just ended."""
+    """Guards against review case 6: the limit for unparsed input was applied to a body that the read had ended."""
     ready = b"GET /ready HTTP/1.1\r\n\r\n"
     with rig(servers=0) as harness:
         body = frame(noise(size), form, 60_000).partition(b"\r\n\r\n")[2]
@@ -594,6 +594,22 @@
         assert not harness.count("malformed") and harness.count("closed") == 0
 
 
+@pytest.mark.parametrize("size", [90_000, 700_000])
+def test_a_request_in_pieces_behind_a_refused_body_is_not_taken_for_a_long_head(size: int) -> None:
+    """Guards against a 431: the rest of the body, read together with a first piece, was counted as the head of it."""
+    ready = b"GET /ready HTTP/1.1\r\n\r\n"
+    with rig(servers=0) as harness:
+        body = noise(size)
+        client = harness.connect().send(post(size) + body[:-20_000])
+        assert client.read_http()[0] == 429
+        connection = next(iter(harness.daemon.north.clients))
+        harness.run_until(lambda: sockets.peek(connection.sock) is None)
+        client.send(body[-20_000:] + ready[:10])
+        harness.run_until(lambda: connection.reader.is_partial and not connection.reader.has_headers)
+        client.send(ready[10:])
+        assert client.read_http()[0] == 503 and not harness.count("malformed")
+
+
 def test_what_still_flows_after_a_refusal_is_read_for_as_long_as_it_flows() -> None:
     """Guards against a fixed time to read the rest: 11 clients still sending 500 kB/s were cut off 2 s after a 429."""
     with rig(servers=0) as harness:
