--- a/benchmarks/plan_changes.py
+++ b/benchmarks/plan_changes.py
@@ -323,7 +323,7 @@
             entries += store.read_state().next_seq - 1
             store.close()
         book = Book(decode_settings(build_settings(INGRESS_COUNT)).plans)
-        load(str(self.ingresses[2].folder / "plans"), book, self.clock())
+        load(str(self.ingresses[2].folder / "plans"), book)
         if book.revision != len(self.changes):
             faults.append(f"book: revision {book.revision}, expected {len(self.changes)}")
         ran = [row for server in self.servers for row in server.received_relays]
--- a/brackenpulley/commands/plans.py
+++ b/brackenpulley/commands/plans.py
@@ -209,7 +209,7 @@
             _fetch_history(source, after=revisions[client])["changes"] if revisions[client] < revisions[source] else []
         )
         for change in missed:
-            call_control(client, "POST", "/v1/changes", change)
+            call_control(client, "POST", "/v1/changes?history=1", change)
         sent[client.name] = len(missed)
     print_result(
         {"revision": revisions[source], "sent": sent},
--- a/brackenpulley/control/api.py
+++ b/brackenpulley/control/api.py
@@ -253,7 +253,7 @@
     def change(request: Request) -> Any:
         call = decode(request.body, Change)
         try:
-            is_new = service.change(call)
+            is_new = service.change(call, is_history=request.query.get("history") == "1")
         except PlanChangeError as error:
             raise ApiError(error.status, error.field, error.text) from None
         return 201 if is_new else 200, {"revision": call.revision, "taken": "now" if is_new else "before"}
--- a/brackenpulley/plans/book.py
+++ b/brackenpulley/plans/book.py
@@ -2,8 +2,10 @@
 
 Each `Change` has the next revision number, the time from which it is effective (`since`) and the time at which it was
 decided (`at`). Whether it is valid depends on earlier changes and on these two times, not on the clock of the ingress
-that receives it, except for wide bounds that catch mistyped times. Ingresses that applied the same revisions therefore
-hold the same book, and a change is effective at the same time on all of them, even where one receives it late.
+that receives it. A change that an operator submits is also held against wide bounds that catch mistyped times; one that
+is part of a book already, in a snapshot or on another ingress, is not, however old it has become. Ingresses that
+applied the same revisions therefore hold the same book, and a change is effective at the same time on all of them, even
+where one receives it late.
 
 The entry effective at a given time is the one with the latest `since` up to that time; with equal `since`, the one with
 the higher revision. An entry that was withdrawn before it took effect is never effective.
@@ -164,9 +166,10 @@
         """Firms that were assigned a plan by a change, sorted."""
         return sorted(self._firms)
 
-    def validate(self, change: Change, now: float) -> bool:
+    def validate(self, change: Change, now: float | None) -> bool:
         """Check whether the change can be applied, without applying it.
 
+        `now` bounds the times of a change that is submitted; None for one that is part of a book already.
         Returns False where it was applied before. Raises PlanChangeError where it is invalid or does not fit the book.
         """
         if 1 <= change.revision <= self.revision:
@@ -177,13 +180,15 @@
             )
         if change.revision != self.revision + 1:
             raise PlanChangeError(409, "revision", f"{change.revision} is not the next one, {self.revision + 1}")
-        self._validate_fields(change, now)
+        if now is not None:
+            self._validate_times(change, now)
+        self._validate_fields(change)
         if change.kind == "withdraw":
             self._validate_withdrawal(change)
         return True
 
-    def apply(self, change: Change, now: float) -> bool:
-        """Apply the change; returns False where it was applied before.
+    def apply(self, change: Change, now: float | None) -> bool:
+        """Apply the change; returns False where it was applied before. `now` is as for `validate`.
 
         Raises PlanChangeError, and then the book is unchanged.
         """
@@ -203,17 +208,24 @@
         self.changes.append(change)
         return True
 
-    def _validate_fields(self, change: Change, now: float) -> None:
+    def _validate_times(self, change: Change, now: float) -> None:
+        """Hold the times of a change that is submitted now against the bounds that catch mistyped ones."""
         if not now - MAX_AGE_SECONDS <= change.at <= now + MAX_CLOCK_SKEW_SECONDS:
             raise PlanChangeError(400, "at", f"{change.at!r} is in the future or over a year before now ({now:.3f})")
+        is_near = now - MAX_AGE_SECONDS <= change.since <= now + MAX_LEAD_SECONDS
+        if change.kind != "withdraw" and not is_near:
+            raise PlanChangeError(400, "since", f"{change.since!r} is not within a year of now ({now:.3f})")
+
+    def _validate_fields(self, change: Change) -> None:
+        for name, when in (("at", change.at), ("since", change.since)):
+            if not math.isfinite(when):
+                raise PlanChangeError(400, name, f"{when!r} is no time")
         if change.kind == "withdraw":
             if change.plan or change.firm or change.figures or change.since:
                 raise PlanChangeError(400, "of", "a withdrawal takes only the revision to withdraw")
             return
         if change.of:
             raise PlanChangeError(400, "of", f"only valid for withdraw, not for {change.kind}")
-        if not now - MAX_AGE_SECONDS <= change.since <= now + MAX_LEAD_SECONDS:
-            raise PlanChangeError(400, "since", f"{change.since!r} is not within a year of now ({now:.3f})")
         if not 0 < len(change.plan) <= 64 or not change.plan.isprintable():
             raise PlanChangeError(400, "plan", f"{change.plan[:40]!r} is not a plan name: 1 to 64 printable characters")
         if change.kind == "set":
--- a/brackenpulley/plans/service.py
+++ b/brackenpulley/plans/service.py
@@ -27,7 +27,7 @@
         """Load the snapshot. Raises SnapshotError where no usable file is left."""
         self.loop, self.ingress, self.path, self.metrics, self.log = loop, ingress, path, metrics, log
         self.book = Book(plans)
-        for line in snapshot.load(path, self.book, loop.clock()):
+        for line in snapshot.load(path, self.book):
             log.error("plans", error=line)
         self._notified_until = loop.clock()  # the module was notified of changes effective up to here
         self._timer: Timer | None = None
@@ -41,13 +41,15 @@
         """Return the current plan of a firm, and the revision of the book that set it or its figures."""
         return self.book.plan_of(firm, self.loop.clock(), requested_plan)
 
-    def change(self, change: Change) -> bool:
+    def change(self, change: Change, is_history: bool = False) -> bool:
         """Store and apply a change; returns False where it was applied before.
 
+        `is_history`: another daemon's book holds it already, so its times are not checked against the clock.
         Raises PlanChangeError where it is rejected or the snapshot cannot be written; nothing is changed then.
         """
         now = self.loop.clock()
-        if not self.book.validate(change, now):
+        checked_against = None if is_history else now
+        if not self.book.validate(change, checked_against):
             self.metrics.add("plan_changes_repeated")
             return False
         try:
@@ -55,7 +57,7 @@
         except OSError as error:
             self.metrics.add("snapshot_failures")
             raise PlanChangeError(503, "snapshot", f"{self.path}: {error.strerror}; nothing was changed") from None
-        self.book.apply(change, now)
+        self.book.apply(change, checked_against)
         self.metrics.add("plan_changes")
         if change.kind != "withdraw":
             lateness = now - change.since
--- a/brackenpulley/plans/snapshot.py
+++ b/brackenpulley/plans/snapshot.py
@@ -68,7 +68,7 @@
         os.close(directory)
 
 
-def load(path: str, book: Book, now: float) -> list[str]:
+def load(path: str, book: Book) -> list[str]:
     """Fill an empty book from the file or, where that is damaged, from the previous one; returns messages to log.
 
     Without any file the book stays empty. Raises SnapshotError where files exist but none can be used.
@@ -85,7 +85,7 @@
             continue
         try:
             changes = decode(data, name)
-            _replay(changes, book, now, name)
+            _replay(changes, book, name)
         except SnapshotError as error:
             messages.append(str(error))
             continue
@@ -97,9 +97,9 @@
     return messages
 
 
-def _replay(changes: list[Change], book: Book, now: float, name: str) -> None:
+def _replay(changes: list[Change], book: Book, name: str) -> None:
     for change in changes:
         try:
-            book.apply(change, max(now, change.at))
+            book.apply(change, None)  # it was accepted once, and may have become older than a submitted one may be
         except PlanChangeError as error:
             raise SnapshotError(f"{name}: revision {change.revision}: {error}") from None
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -293,6 +293,17 @@
         )
 
 
+def test_a_change_of_another_daemons_book_is_taken_over_however_old_it_is(tmp_path: Path) -> None:
+    """Guards against a daemon that cannot be brought into a fleet whose plan book was begun over a year ago."""
+    with rig(operator=operator_options(tmp_path)) as r:
+        old = r.daemon.clock() - 500 * 86400.0
+        change = plan_change(r, at=old, since=old)
+        code, content = call(r, tmp_path, "POST", "/v1/changes", change)
+        assert (code, content["error"]["field"]) == (400, "at")
+        assert call(r, tmp_path, "POST", "/v1/changes?history=1", change) == (201, {"revision": 1, "taken": "now"})
+        assert call(r, tmp_path, "GET", f"/v1/firms/{FIRM}")[1]["plan"] == "p"
+
+
 def test_a_socket_in_use_and_a_file_that_is_no_socket_are_not_removed(tmp_path: Path) -> None:
     with (
         rig(operator=operator_options(tmp_path)),
--- a/tests/test_plan_book.py
+++ b/tests/test_plan_book.py
@@ -11,7 +11,14 @@
 from hypothesis import strategies as st
 
 from brackenpulley.plans import snapshot
-from brackenpulley.plans.book import Book, Change, Figures, PlanChangeError
+from brackenpulley.plans.book import (
+    MAX_AGE_SECONDS,
+    MAX_LEAD_SECONDS,
+    Book,
+    Change,
+    Figures,
+    PlanChangeError,
+)
 from brackenpulley.policy.interface import PlanSpec
 
 NOW = 1_000_000.0
@@ -146,8 +153,41 @@
 def test_snapshot_loads_what_was_saved(tmp_path: Path) -> None:
     path, changes = save_revisions(tmp_path)
     book = make_book()
-    assert snapshot.load(path, book, NOW) == [] and book.changes == changes
-    assert snapshot.load(str(tmp_path / "none"), make_book(), NOW) == []
+    assert snapshot.load(path, book) == [] and book.changes == changes
+    assert snapshot.load(str(tmp_path / "none"), make_book()) == []
+
+
+def test_a_snapshot_is_loaded_however_old_its_changes_have_become(tmp_path: Path) -> None:
+    """Guards against review case 8: the bounds for submitted changes kept a book of over a year from being loaded."""
+    path, early = str(tmp_path / "plans"), NOW - 3 * MAX_AGE_SECONDS
+    changes = [
+        move(1, "county", early, at=early),
+        move(2, "school", early + MAX_LEAD_SECONDS, firm="2", at=early + 1),
+        # Taken over late: it took effect more than a year after it had been decided.
+        move(3, "county", NOW + MAX_LEAD_SECONDS, firm="3", at=early + 2),
+        Change(4, "withdraw", at=early + 3, of=2),
+    ]
+    snapshot.save(path, changes)
+    book = make_book()
+    assert snapshot.load(path, book) == [] and book.changes == changes
+    assert [book.plan_of(firm, NOW, "school")[0] for firm in (1, 2, 3)] == ["county", "school", "school"]
+
+
+def test_a_submitted_change_is_still_held_against_the_clock_behind_an_old_book() -> None:
+    book = make_book()
+    early = NOW - 2 * MAX_AGE_SECONDS
+    assert book.apply(move(1, "county", early, at=early), None)
+    for change in (
+        move(2, "county", NOW, at=early),
+        move(2, "county", early, at=NOW),
+        move(2, "county", NOW + 2 * MAX_LEAD_SECONDS),
+    ):
+        with pytest.raises(PlanChangeError) as error:
+            book.apply(change, NOW)
+        assert error.value.status == 400 and book.revision == 1
+    for when in (float("nan"), float("inf")):
+        with pytest.raises(PlanChangeError, match="is no time"):
+            book.apply(move(2, "county", when), None)
 
 
 @pytest.mark.parametrize(
@@ -164,12 +204,12 @@
     path, changes = save_revisions(tmp_path)
     Path(path).write_bytes(damage(Path(path).read_bytes()))
     book = make_book()
-    first, second = snapshot.load(path, book, NOW)
+    first, second = snapshot.load(path, book)
     assert first.startswith(path) and second == f"{path}.last: used in its place, 2 changes"
     assert book.changes == changes[:2]
     Path(path + ".last").write_bytes(b"x")
     with pytest.raises(snapshot.SnapshotError, match="plans.last: no snapshot"):
-        snapshot.load(path, make_book(), NOW)
+        snapshot.load(path, make_book())
 
 
 @pytest.mark.parametrize("step", ["open", "fsync", "link", "replace"])
@@ -189,5 +229,5 @@
         with pytest.raises(OSError):
             snapshot.save(path, [*changes, move(3, "school", NOW)])
     book = make_book()
-    snapshot.load(path, book, NOW)
+    snapshot.load(path, book)
     assert book.changes[:2] == changes
