Hold buffered bodies in one piece, however small the pieces that they come in

Cause: bodies that are buffered were lists of the pieces that the parser gave, and a chunk of two bytes is an object of some 35 and a place in the list: 64 KB became 2 MB. The same in Body (long bodies, both ways) and in answers of sim servers.

Change: requests and answers collect in a bytearray from the second piece on; Body joins pieces below 1 KB in memory.

--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -24,6 +24,7 @@
     from .spool import Spool
 
 MAX_SLICE_BYTES = 65536  # that a reader gets at a time
+JOINED_PART_BYTES = 1024  # smaller parts are held as one: each would cost some 100 bytes beside its content
 
 
 class State(Enum):
@@ -133,15 +134,22 @@
         if self.state is DROPPED or not part:
             return
         assert self.is_open, self.state
-        self._parts.append(part)
+        self._hold(part)
         self.size += len(part)
         if self.is_kept:
             if not self.memory.keep(len(part), self.size):
-                self._stop_keeping()
+                self._stop_keeping(len(part))
         elif self._spool is not None and not self._spool.write(part):
             self._spool = None
         self.on_change()
 
+    def _hold(self, part: bytes) -> None:
+        """Adds a part in memory: to the last one, if both are small and the reader has not passed it."""
+        if self._part_index < len(self._parts) and len(self._parts[-1]) + len(part) <= JOINED_PART_BYTES:
+            self._parts[-1] += part
+        else:
+            self._parts.append(part)
+
     def end(self) -> None:
         """Marks the end of the body."""
         if self.is_open:
@@ -222,10 +230,13 @@
             self.on_space()
         self.on_space = _no_op
 
-    def _stop_keeping(self) -> None:
-        """Moves the body to a file, because memory has no room to keep it; without a file it can be read only once."""
+    def _stop_keeping(self, newest_bytes: int) -> None:
+        """Moves the body to a file, because memory has no room to keep it; without a file it can be read only once.
+
+        `newest_bytes` are held and were not counted as kept.
+        """
         self.is_kept = False
-        self.memory.release(self.held_bytes - len(self._parts[-1]))
+        self.memory.release(self.held_bytes - newest_bytes)
         spool = self.memory.folder.open() if self.memory.folder is not None else None
         if spool is not None and all(map(spool.write, self._parts)):
             self._spool = spool
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -11,7 +11,7 @@
 
 from ..bodies.body import Body
 from ..core.exchange import RelayResult
-from .http import HOP_BY_HOP_HEADERS, MAX_BUFFERED_BODY_BYTES, MAX_HEADER_BYTES, MAX_HEADER_FIELDS
+from .http import HOP_BY_HOP_HEADERS, MAX_BUFFERED_BODY_BYTES, MAX_HEADER_BYTES, MAX_HEADER_FIELDS, append_part
 
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before one final response
 MAX_PLAUSIBLE_BYTES = 1 << 30  # a larger Content-Length is taken for a corrupt header, not for a long body
@@ -51,7 +51,7 @@
         self.has_surplus = False  # bytes came behind the end of the response
         self.status = 0
         self._head_bytes = b""  # received part of a head that is not complete yet
-        self._body_parts: list[bytes] = []
+        self._buffered: bytes | bytearray = b""
         self.body_size = 0
         self._interim_count = 0
         self.content_length = -1  # -1 = not declared
@@ -133,7 +133,7 @@
         if self.stream is not None:
             self.stream.put(part)
         elif self.status == 200 or self.body_size <= self._buffer_limit:
-            self._body_parts.append(part)
+            self._buffered = append_part(self._buffered, part)
         else:  # a failed response's body beyond the buffer limit is discarded
             self._complete()
             self._note_surplus()
@@ -151,14 +151,13 @@
 
     def stream_to(self, stream: Body) -> None:
         """Move the buffered body to `stream`, and send the rest there as it comes."""
-        for part in self._body_parts:
-            stream.put(part)
-        self.stream, self._body_parts = stream, []
+        stream.put(bytes(self._buffered))
+        self.stream, self._buffered = stream, b""
 
     def _complete(self) -> None:
         if self.is_complete:
             return
-        self.is_complete, self.body, self._body_parts = True, b"".join(self._body_parts), []
+        self.is_complete, self.body, self._buffered = True, bytes(self._buffered), b""
         if self.stream is not None:
             self.stream.end()
 
--- a/brackenpulley/net/http.py
+++ b/brackenpulley/net/http.py
@@ -47,6 +47,16 @@
     return bool(buffers)
 
 
+def append_part(buffered: bytes | bytearray, part: bytes) -> bytes | bytearray:
+    """Return `buffered` with `part` behind it, in one piece: parts of a few bytes would cost many times their size."""
+    if not buffered:
+        return part
+    if not isinstance(buffered, bytearray):
+        buffered = bytearray(buffered)
+    buffered += part
+    return buffered
+
+
 @dataclass(slots=True)
 class Payload:
     """The part of a client's request that is forwarded to a sim server unchanged."""
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -21,6 +21,7 @@
     MAX_HEADER_BYTES,
     MAX_HEADER_FIELDS,
     Payload,
+    append_part,
 )
 
 MAX_TARGET_BYTES = 8192
@@ -91,7 +92,7 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._framing_headers: list[tuple[bytes, bytes]] = []  # those of `_headers` that are in FRAMING_HEADERS
-        self._body_parts: list[bytes] = []
+        self._body: bytes | bytearray = b""
         self._field_count = 0
         self._header_bytes = self._fed_bytes = 0
         self._content_length = -1  # -1 if not declared
@@ -198,7 +199,7 @@
             return
         if self.is_full:
             return
-        self._body_parts.append(part)
+        self._body = append_part(self._body, part)
         if self.body_bytes > MAX_BUFFERED_BODY_BYTES:
             self._start_streaming()
 
@@ -206,9 +207,8 @@
         """Queue the request now and pass the rest of its body through a stream."""
         assert self._shares is not None and self._parser is not None
         self.open_body = Body(self._shares, self._content_length, keep=True)
-        for part in self._body_parts:
-            self.open_body.put(part)
-        self._body_parts = []
+        self.open_body.put(bytes(self._body))
+        self._body = b""
         self._queue(
             Payload(
                 self._parser.get_method(),
@@ -240,7 +240,7 @@
             self._clear()
             body.end()
             return
-        buffered = b"".join(self._body_parts) if self._body_parts else b""
+        buffered = bytes(self._body) if self._body else b""
         self._queue(Payload(self._parser.get_method(), self._target, self._headers, buffered))
         self._clear()
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -6,6 +6,7 @@
 import os
 import select
 import socket
+import tracemalloc
 from pathlib import Path
 from typing import Any
 
@@ -37,6 +38,26 @@
     return b"".join(xxhash.xxh3_128_digest(b"%d %d" % (seed, n)) for n in range(size // 16 + 1))[:size]
 
 
+def test_a_body_in_pieces_of_a_few_bytes_holds_little_more_than_its_bytes() -> None:
+    """Guards against one object for each piece: 64 KB in chunks of two bytes took 2 MB."""
+    body, content = Body(BodyMemory(TOTAL), keep=True), noise(40_000)
+    tracemalloc.start()
+    try:
+        for place in range(0, len(content), 2):
+            body.put(content[place : place + 2])
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert held < 2 * len(content)
+    assert body.begin() and b"".join(body.take(7_000)) == content[:7_000]
+    body.put(b"more")  # behind a part that the reader has begun
+    assert b"".join(body.take()) == content[7_000:] + b"more"
+    body.put(b"last")  # behind parts that the reader has passed
+    assert b"".join(body.take()) == b"last" and body.begin()
+    assert b"".join(body.take()) == content + b"morelast"
+    body.drop()
+
+
 # The state machine.
 
 
--- a/tests/test_small_memory.py
+++ b/tests/test_small_memory.py
@@ -33,6 +33,25 @@
     await send_and_wait(ingress, b"GET /a/1 HTTP/1.1\r\n" + b"a:\r\n" * 4000)
 
 
+async def send_tiny_chunks(ingress: LiveIngress, number: int) -> None:
+    """Stop within a body in chunks of two bytes."""
+    head = encode_request(f"{number:016x}", "POST", more="Transfer-Encoding: chunked\r\n")
+    await send_and_wait(ingress, head + b"2\r\nab\r\n" * 20_000)
+
+
+async def write_slowly(ingress: LiveIngress, number: int) -> None:
+    """Send a body in pieces, at a pace that a page allows."""
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+        reader, writer = await ingress.connect()
+        writer.write(encode_request(f"{number:016x}", "POST", more="Content-Length: 64000\r\n"))
+        async with asyncio.timeout(2 * HOLD_SECONDS):
+            for _ in range(10):
+                writer.write(bytes(6_400))
+                await asyncio.sleep(0.25)
+            await read_head(reader)
+        writer.close()
+
+
 async def read_slowly(ingress: LiveIngress, number: int) -> None:
     """Ask for a long answer and read it slowly, through a small receive buffer."""
     sock = socket.socket()
@@ -60,7 +79,7 @@
         await writer.drain()
 
 
-@pytest.mark.parametrize("behave", [send_short_fields, read_slowly])
+@pytest.mark.parametrize("behave", [send_short_fields, send_tiny_chunks, write_slowly, read_slowly])
 def test_hundreds_of_clients_do_not_take_the_process_past_its_memory(
     tmp_path: Path, behave: Callable[[LiveIngress, int], Awaitable[None]]
 ) -> None:
