Account for what unanswered input holds, and divide what the program leaves of its memory

Cause: half of the limit was given to clients and bodies as if the program took the other half; it takes 25 MB, of 32 too. The clients' part became a number of connections at 80 KB each, but one may hold several times that: in hand, queued, one read, a partial request. Ruled out: kernel buffers (not resident here), idle connections (2.1 KB each, measured with 500).

Change: memory_budget divides what the resident program leaves; net/input_memory counts what input holds. Over the limit, requests that are not whole get 503, the most stalled first; none of them has run.

--- a/brackenpulley/net/client_connection.py
+++ b/brackenpulley/net/client_connection.py
@@ -53,6 +53,8 @@
         "discard_until",
         "discarded_bytes",
         "is_unparsed",
+        "held_bytes",
+        "payload_bytes",
     )
 
     def __init__(self, sock: socket.socket, now: float, reader: RequestReader) -> None:
@@ -75,3 +77,22 @@
         self.discard_until = 0.0  # input is read and discarded until then; 0 if it is not
         self.discarded_bytes = 0
         self.is_unparsed = False  # input is no longer parsed
+        self.held_bytes = 0  # as entered in the account of input memory
+        self.payload_bytes = 0  # of the buffered body of the message in progress
+
+    def measure_input(self) -> int:
+        """Return the memory that unanswered input of this connection holds."""
+        body = self.request_body or self.reader.open_body
+        return self.reader.held_bytes + self.payload_bytes + (body.held_bytes if body is not None else 0)
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request is not whole yet and nothing but its rest is waited for, so that it can be refused."""
+        if self.exchange is not None:
+            return self.exchange.message.is_body_pending
+        return not self.is_busy and self.reader.is_partial
+
+    @property
+    def last_input_at(self) -> float:
+        """When bytes of the request that is being received came last."""
+        return max(self.pace.last_progress_at, self.pace.message_started_at)
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -21,6 +21,7 @@
 from . import sockets
 from .client_connection import ClientConnection
 from .http import DEFAULT_MAX_BODY_BYTES, append_body_slice
+from .input_memory import MIN_RELIEF_BYTES, InputMemory
 from .loop import READ, WRITE, Loop, Timer
 from .pool import BUFFER_BYTES, Pool
 from .requests import RequestError, RequestReader, decode_message, encode_head, encode_response
@@ -42,6 +43,7 @@
 MAX_QUEUED_REQUESTS = MAX_PIPELINED_MESSAGES + 2
 PIPELINE_OVERFLOW_TEXT = f"more than {MAX_PIPELINED_MESSAGES} messages at a time on a connection"
 MAX_QUEUED_BODY_BYTES = 1 << 16  # of pipelined messages; reading pauses above it
+MEMORY_RETRY_SECONDS = 0.5  # told with a refusal for lack of memory
 PEER_CHECK_INTERVAL_SECONDS = 0.05  # how often connections whose reading is paused are checked for a closed peer
 LINGERING_DIVISOR = 8  # one in eight connections is reserved for half-closed ones
 FIRST_MESSAGE_TIMEOUT_SECONDS = 2.0  # from accepting a connection, if the client sends nothing
@@ -68,6 +70,7 @@
         is_ready: Callable[[], bool],
         drain: DrainState,
         shares: BodyMemory,
+        input_memory: InputMemory,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     ) -> None:
         self.loop, self.pool, self.ingress, self.south = loop, pool, ingress, south
@@ -82,6 +85,7 @@
         self.listener: socket.socket | None = None
         self.is_accepting = False
         self.drain, self.shares, self.max_body_bytes = drain, shares, max_body_bytes
+        self.input_memory = input_memory
         self.discarding: dict[ClientConnection, None] = {}  # evicted before all others; oldest first
         self.streaming_responses = 0  # number of streamed responses in progress
         self._resume_timer: Timer | None = None
@@ -220,7 +224,11 @@
 
     def _on_readable(self, client: ClientConnection) -> None:
         open_body = client.reader.open_body
-        if not (room := BUFFER_BYTES if open_body is None else self._readable_bytes(client, open_body)):
+        if not (
+            room := self.input_memory.limit_read(BUFFER_BYTES)
+            if open_body is None
+            else self._readable_bytes(client, open_body)
+        ):
             self._update_interest(client)
             return
         buffer, was_partial = self.pool.acquire(), client.reader.is_partial
@@ -283,9 +291,41 @@
                 self.close(client)
                 return
             self._start_next_message(client)
+        if reader.is_partial or reader.complete or client.held_bytes or client.payload_bytes:
+            self._account_input(client)
+            self._relieve_memory()
         if client in self.clients and (reader.complete or reader.open_body is not None):
             self._update_interest(client)
 
+    def _account_input(self, client: ClientConnection) -> None:
+        """Enter what a connection holds now in the account; nothing once it is closed or answers no more."""
+        held = client.measure_input() if client in self.clients and client not in self.half_closed else 0
+        self.input_memory.used_bytes += held - client.held_bytes
+        client.held_bytes = held
+
+    def _relieve_memory(self) -> None:
+        """Refuse requests that are not whole while the account is exceeded, those first whose bytes came longest ago.
+
+        No server has run them, so their clients may repeat them.
+        """
+        if not self.input_memory.is_exceeded:
+            return
+        candidates = [c for c in self.clients if c.held_bytes >= MIN_RELIEF_BYTES and c.is_receiving]
+        for client in sorted(candidates, key=lambda c: c.last_input_at):
+            if not self.input_memory.is_exceeded:
+                return
+            self.metrics.add("refused_memory")
+            client.keep_alive = False
+            if client.exchange is not None:
+                self._abandon(client, 503)
+            else:
+                client.is_busy = True
+                self._respond(client, 503, retry_after=self._retry_delay())
+
+    def _retry_delay(self) -> float:
+        """Return the seconds to name in a refusal for lack of memory; 0 where the settings allow none."""
+        return MEMORY_RETRY_SECONDS if self.ingress.decision_module.settings.retry_after else 0.0
+
     def _limit_pipelining(self, client: ClientConnection) -> None:
         """Stop parsing if too many messages are queued behind the one in progress; the queued ones are rejected."""
         if len(client.reader.complete) > MAX_PIPELINED_MESSAGES:
@@ -361,6 +401,12 @@
         if payload.method == b"GET" and payload.target == b"/ready":
             self._respond(client, 200 if self.drain.is_ready(self.is_ready()) else 503)
             return
+        if payload.body:
+            client.payload_bytes = len(payload.body)
+            if client.payload_bytes >= MIN_RELIEF_BYTES and self.input_memory.is_exceeded:
+                self.metrics.add("refused_memory")
+                self._respond(client, 503, retry_after=self._retry_delay())
+                return
         number = client.message_number
         try:
             if client.has_pipeline_overflow:
@@ -519,6 +565,9 @@
             return
         client.request_body = client.delivery = None
         client.is_busy, client.last_progress = False, self.loop.clock()
+        client.payload_bytes = 0
+        if client.held_bytes:
+            self._account_input(client)
         if not client.keep_alive or client.close_after_response:
             self._half_close(client)
         elif client.reader.complete or client.reader.unqueued_count:
@@ -553,6 +602,8 @@
         client.keep_alive, client.discarded_bytes = False, 0
         client.discard_until = self.loop.clock() + (DRAIN_LINGER_SECONDS if self.drain.is_ending else LINGER_SECONDS)
         sockets.shutdown_write(client.sock)
+        client.reader.discard_input()
+        self._account_input(client)
         self._update_interest(client)
         self._trim_half_closed()
         if not self._is_full():
@@ -570,7 +621,7 @@
         if client.is_reading and (
             client.is_unparsed
             or client.discard_until
-            or not (client.is_busy and reader.complete and reader.count_queued_bytes() > MAX_QUEUED_BODY_BYTES)
+            or not (client.is_busy and self._is_input_crowded(reader))
             and (open_body is None or self._readable_bytes(client, open_body))
         ):
             events |= READ
@@ -582,6 +633,12 @@
                 self._peer_check_timer = self.loop.call_in(PEER_CHECK_INTERVAL_SECONDS, self._check_peers)
         self.loop.set_interest(client.sock, events, lambda events: self._on_event(client, events))
 
+    def _is_input_crowded(self, reader: RequestReader) -> bool:
+        """Return whether nothing more is read behind the message in progress."""
+        if reader.complete and reader.count_queued_bytes() > MAX_QUEUED_BODY_BYTES:
+            return True
+        return reader.open_body is None and self.input_memory.is_exceeded
+
     def _check_peers(self) -> None:
         """Close connections whose clients left while reading was paused, so that no work is started for them."""
         self._peer_check_timer = None
@@ -622,6 +679,7 @@
         self._release_response_body(client)
         client.reader.close()
         self._release_request_body(client)
+        self._account_input(client)
         if not self._is_full():
             self._start_accepting()
 
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -23,6 +23,7 @@
     Payload,
     append_part,
 )
+from .input_memory import FIELD_OVERHEAD_BYTES, REQUEST_OVERHEAD_BYTES
 
 MAX_TARGET_BYTES = 8192
 MAX_WIRE_BYTES = 8 * MAX_BUFFERED_BODY_BYTES  # one request as received, including its chunk framing
@@ -122,6 +123,21 @@
         """Whether no further request is kept until one of `complete` is taken."""
         return len(self.complete) >= self._max_queued
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the unfinished request and of the queued ones, without the bodies that are streamed."""
+        held = len(self._body) + self._fed_bytes + self._field_count * FIELD_OVERHEAD_BYTES
+        for payload, _ in self.complete:
+            held += len(payload.body) + len(payload.headers) * FIELD_OVERHEAD_BYTES + REQUEST_OVERHEAD_BYTES
+        return held
+
+    def discard_input(self) -> None:
+        """Release what has been received and is not answered. Nothing may be fed after that."""
+        has_headers = self.has_headers  # North discards more behind a valid head than behind none
+        self.close()
+        self._clear()
+        self.has_headers = has_headers
+
     def count_queued_bytes(self) -> int:
         """Return the number of body bytes in the complete requests that are still queued."""
         return sum(len(payload.body) for payload, _ in self.complete)
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -24,9 +24,11 @@
 from .config import Config, reload
 from .core.features import disable_probes, list_unsupported
 from .core.ingress import Ingress
+from .memory_budget import divide, read_resident_bytes
 from .metrics import Metrics, render_exposition
 from .net.console import Console
 from .net.counter import CounterClient
+from .net.input_memory import InputMemory
 from .net.inventory import Discovery, Inventory
 from .net.loop import Loop
 from .net.north import North
@@ -44,10 +46,6 @@
 MAX_RESERVED_DESCRIPTORS = 64
 # ... and one in this many of all descriptors, but no less than 16.
 RESERVED_DESCRIPTORS_DIVISOR = 8
-# Memory of a client whose whole message is held.
-MEMORY_PER_CLIENT_KB = 80
-# One in this many parts of the memory is available to clients, and another one to message bodies.
-CLIENT_MEMORY_DIVISOR = 4
 # Seconds at shutdown for returned leased units to reach the counter, also the interval of checks for agreement.
 LEASE_RETURN_SECONDS = 0.05
 TEXT_CONTENT_TYPE = b"text/plain; charset=utf-8"
@@ -118,7 +116,8 @@
         self.inventory = Inventory(self.ingress.update_servers)
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         sockets -= min(MAX_RESERVED_DESCRIPTORS, max(16, sockets // RESERVED_DESCRIPTORS_DIVISOR))
-        clients = min(sockets * 3 // 5, config.memory_mb * 1024 // CLIENT_MEMORY_DIVISOR // MEMORY_PER_CLIENT_KB)
+        memory = divide(config.memory_mb << 20, read_resident_bytes())
+        clients = min(sockets * 3 // 5, memory.connections)
         folder = None
         if options.bodies.spool_directory:
             from .bodies.spool import SpoolFolder
@@ -128,7 +127,7 @@
                 options.bodies.max_spool_bytes,
                 lambda error: log.error("spool", error=error),
             )
-        self.shares = BodyMemory((config.memory_mb << 20) // CLIENT_MEMORY_DIVISOR, folder)
+        self.shares = BodyMemory(memory.body_bytes, folder)
         self.south = Southside(
             self.loop,
             self.pool,
@@ -153,6 +152,7 @@
             self.is_ready,
             self.drain,
             self.shares,
+            InputMemory(memory.input_bytes),
             options.bodies.max_body_bytes,
         )
         self.console: Console | None = None
--- a/tests/test_small_memory.py
+++ b/tests/test_small_memory.py
@@ -39,6 +39,18 @@
     await send_and_wait(ingress, head + b"2\r\nab\r\n" * 20_000)
 
 
+async def stop_half_way(ingress: LiveIngress, number: int) -> None:
+    """Stop within a body that is just short enough to be buffered."""
+    head = encode_request(f"{number:016x}", "POST", more="Content-Length: 1000000\r\n")
+    await send_and_wait(ingress, head + bytes(64_000))
+
+
+async def queue_bodies(ingress: LiveIngress, number: int) -> None:
+    """Send several bodies at once, each just short enough to be buffered."""
+    head = encode_request(f"{number:016x}", "POST", more="X-Slow: 1\r\nContent-Length: 60000\r\n")
+    await send_and_wait(ingress, (head + bytes(60_000)) * 4)
+
+
 async def write_slowly(ingress: LiveIngress, number: int) -> None:
     """Send a body in pieces, at a pace that a page allows."""
     with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
@@ -79,7 +91,9 @@
         await writer.drain()
 
 
-@pytest.mark.parametrize("behave", [send_short_fields, send_tiny_chunks, write_slowly, read_slowly])
+@pytest.mark.parametrize(
+    "behave", [send_short_fields, send_tiny_chunks, stop_half_way, queue_bodies, write_slowly, read_slowly]
+)
 def test_hundreds_of_clients_do_not_take_the_process_past_its_memory(
     tmp_path: Path, behave: Callable[[LiveIngress, int], Awaitable[None]]
 ) -> None:
