Forget firms beyond what memory allows, those first that lose least by it

Cause: each firm's record of 0.7 KB is held for a minute, however many there are.

Change: FirmTable.max_count, set by memory_budget in the daemon; firms that a new record would grant least are forgotten first, so that pushing a firm out does not give it its quota back.

--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -808,6 +808,7 @@
         if now - self.servers.warm_since >= RUN_SECONDS:
             self.servers.update_warm_rate(now, self.settings, SERVER_GAIN)
             self.firms.expire(now - 2 * COUNTER_NAME_SECONDS)
+            self.firms.limit_count(now)
         self.call_counter(now)
         if self.uses_peer_notes and now - self.last_note_at >= self.note_interval:
             self.last_note_at = now
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -93,6 +93,14 @@
         if self.plan.rate:
             self.level, self.unreported = self.level - units, self.unreported + units
 
+    def compute_missing(self, now: float) -> float:
+        """Returns the units by which a new record of the firm would be better off, by an even share of its rates."""
+        missing = self.burst_share - self.level - self.plan.rate / self.spread * (now - self.filled_at)
+        if self.plan.ceiling_rate:
+            ceiling_refill = self.plan.ceiling_rate / self.spread * (now - self.ceiling_filled_at)
+            missing = max(missing, self.plan.ceiling_burst / self.spread - self.ceiling_level - ceiling_refill)
+        return max(0.0, missing)
+
     def fill(self, rate: float, capacity: float, dt: float) -> None:
         """Refills the quota at `rate` for `dt` s up to `capacity`; a higher level is kept."""
         new = min(capacity, self.level + max(0.0, rate) * dt)
@@ -200,6 +208,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.due_reports = dict[int, Firm]()
+        self.max_count: float = inf  # firms that are held; more are forgotten before their time
 
     def set_due(self, firm: Firm, is_due: bool) -> None:
         """Sets whether a report is due. Returned units are reported too, after the use of other firms."""
@@ -215,8 +224,24 @@
     def expire(self, since: float) -> None:
         """Removes the firms that have no relay in flight and were not seen since then."""
         for key in [key for key, c in self.items() if c.seen_at < since and not c.in_flight]:
-            del self[key]
-            self.due_reports.pop(key, None)
+            self._forget(key)
+
+    def limit_count(self, now: float) -> None:
+        """Forgets firms beyond `max_count`, those first that lose least by it, of these the longest idle ones.
+
+        Firms with relays in flight stay.
+        """
+        if len(self) <= self.max_count:
+            return
+        excess = len(self) - int(self.max_count)
+        idle = [c for c in self.values() if not c.in_flight]
+        idle.sort(key=lambda c: (c.compute_missing(now), c.seen_at))
+        for firm in idle[:excess]:
+            self._forget(firm.key)
+
+    def _forget(self, key: int) -> None:
+        del self[key]
+        self.due_reports.pop(key, None)
 
     def make_notes(self) -> list[str]:
         """Returns notes for the peers: the total use and relays in flight of the firms where these changed."""
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -118,6 +118,7 @@
         sockets -= min(MAX_RESERVED_DESCRIPTORS, max(16, sockets // RESERVED_DESCRIPTORS_DIVISOR))
         memory = divide(config.memory_mb << 20, read_resident_bytes())
         clients = min(sockets * 3 // 5, memory.connections)
+        decision_module.firms.max_count = memory.firms
         folder = None
         if options.bodies.spool_directory:
             from .bodies.spool import SpoolFolder
