Pass on a long answer that flows when its time ends, instead of cutting it off

Cause: an answer is passed on once 64 KB have come (16 KB of one that declares more); until then the message's timer drops it, though of a long answer only the first bytes are timed. The module's cancel of a silent server did the same. Ruled out: stall limits, memory, the client's reading.

--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -68,6 +68,10 @@
         """Return False: there is nothing to take back."""
         return False
 
+    def stream_now(self) -> bool:
+        """Return False: no answer comes through here."""
+        return False
+
 
 class Call:
     """A Check call, from the headers of its stream until its answer is sent."""
--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -87,6 +87,12 @@
     def recall(self) -> bool:
         """Cancels the relay if none of its bytes were sent, and returns whether that was so."""
 
+    def stream_now(self) -> bool:
+        """Passes on an answer that has begun and may be a long one, without waiting for more of it.
+
+        Returns False if there is none, or if it does not flow any more. Otherwise `on_streaming` has been called.
+        """
+
 
 class South(Protocol):
     """Starts relays to sim servers."""
@@ -208,6 +214,10 @@
         self._relay = None
         return True
 
+    def stream_now(self) -> bool:
+        """Starts to pass on a long answer that flows at the end of its time; returns False if there is none."""
+        return not self.is_finished and self._relay is not None and self._relay.stream_now()
+
     def answer(self, answer: Answer) -> None:
         """Sends the final answer, unless the client has disconnected. Raises ExchangeError on a second answer."""
         if self.final_answer is not None:
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -459,6 +459,8 @@
             self.leases.settled(message.firm)
 
     def _handle_timeout(self, exchange: Exchange) -> None:
+        if exchange.stream_now():  # of a long answer the first bytes are timed, and they are in time
+            return
         # The sim server cannot have run an attempt that was not completely written to a connection.
         status = "timeout" if exchange.drop() else "connect_failed"
         self._handle_result(exchange, exchange.attempt, RelayResult(status))
@@ -466,6 +468,8 @@
     def _handle_cancel(self, action: interface.Cancel) -> None:
         exchange = self.exchanges.get(action.id)
         if exchange and exchange.has_relay and exchange.attempt == action.attempt:
+            if exchange.stream_now():  # the server was taken for a silent one, but its answer flows
+                return
             status = "cancelled" if exchange.drop() else "moot"
             self._handle_result(exchange, action.attempt, RelayResult(status))
 
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -144,6 +144,12 @@
         is_declared_long = self.content_length > self._buffer_limit and self.body_size >= STREAM_MIN_BYTES
         return self.status == 200 and not self.is_complete and (is_declared_long or self.body_size > self._buffer_limit)
 
+    @property
+    def may_be_long(self) -> bool:
+        """Whether this is a successful response that has begun and is not known to be a short one."""
+        is_short = 0 <= self.content_length <= self._buffer_limit
+        return self.status == 200 and not self.is_complete and self.body_size > 0 and not is_short
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the body that are buffered here."""
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -146,6 +146,17 @@
         self.drop()
         return True
 
+    def stream_now(self) -> bool:
+        """Stream a response that has begun and may be a long one, if its server still sends it; True if it does."""
+        connection = self.connection
+        if connection is None or connection.response is None or self.response_stream is not None or not self.is_written:
+            return False
+        stalled_for = self.south.loop.clock() - self.last_progress
+        if not connection.response.may_be_long or stalled_for >= STALL_TIMEOUT_SECONDS:
+            return False
+        self.south.start_response_stream(connection, self, connection.response)
+        return True
+
 
 class Southside:
     """Runs relays to sim servers, and owns the connections to them.
@@ -472,7 +483,7 @@
             relay.has_stall_timer = True
             relay.timer = self.loop.call_in(STALL_TIMEOUT_SECONDS, lambda: self._check_response_stall(connection))
         if response.is_long and relay.response_stream is None and relay.connection is connection and relay.is_written:
-            self._start_response_stream(connection, relay, response)
+            self.start_response_stream(connection, relay, response)
 
     def _receive(self, sock: socket.socket, space: int, is_streaming: bool) -> bytes:
         """Read available bytes. A streamed slice goes to the client as it is, so it is read into its own bytes."""
@@ -508,9 +519,7 @@
             self.close(connection)
         self._finish(relay, relay_end)
 
-    def _start_response_stream(
-        self, connection: ServerConnection, relay: ServerRelay, response: ResponseReader
-    ) -> None:
+    def start_response_stream(self, connection: ServerConnection, relay: ServerRelay, response: ResponseReader) -> None:
         """Stream a response to the client that is longer than what is buffered whole."""
         relay.response_stream = stream = Body(self.shares, response.content_length)
 
--- a/brackenpulley/standins/hollow.py
+++ b/brackenpulley/standins/hollow.py
@@ -184,6 +184,10 @@
         """Return False: the relay counts as sent from its start, so that it cannot be recalled."""
         return False
 
+    def stream_now(self) -> bool:
+        """Return False: each answer comes whole."""
+        return False
+
 
 class TimedSouthside:
     """Replaces `Southside`: each relay succeeds after an exponential time of mean `mean_s`, at its estimated cost."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -47,6 +47,9 @@
     def recall(self) -> bool:
         return self.is_unsent
 
+    def stream_now(self) -> bool:
+        return False
+
     def start(self, message: Message, server: str, timeout: float, on_done: Any, on_streaming: Any) -> Any:
         self.callbacks.append(on_done)
         return self
@@ -310,6 +313,9 @@
     def recall(self) -> bool:
         return False
 
+    def stream_now(self) -> bool:
+        return False
+
 
 ArbitraryEvents.TestCase.settings = MACHINE_SETTINGS
 TestArbitraryEvents = ArbitraryEvents.TestCase
--- a/tests/test_plans_together.py
+++ b/tests/test_plans_together.py
@@ -54,6 +54,9 @@
     def recall(self) -> bool:
         return False
 
+    def stream_now(self) -> bool:
+        return False
+
 
 class ControlledSouth:
     """South side whose relays end as the test decides; computes the units that must be charged."""
