Let a message's time run while its server does not read its body

Cause: the time begins with the body's last byte, but reading pauses a window ahead of the server, so that byte was not read while the server read nothing; three attempts of 2 s each. Ruled out: the pace of clients, the answer, the module's deadline.

Change: a body that is kept for another attempt is read ahead as far as it is kept; a longer one ends with 503 once its server has taken nothing for as long as the client waits.

--- a/brackenpulley/bodies/body.py
+++ b/brackenpulley/bodies/body.py
@@ -95,6 +95,11 @@
         """Bytes that are held in memory."""
         return self.size - self._released_bytes
 
+    @property
+    def taken_bytes(self) -> int:
+        """Bytes that the current reader has taken."""
+        return self._position
+
     @property
     def unread_bytes(self) -> int:
         """Bytes that were received and not taken by the reader."""
@@ -119,11 +124,14 @@
     def available_space(self) -> int:
         """Returns how many bytes may be put in now; 0 blocks the writer until `on_space` is called.
 
-        A dropped body accepts everything and holds nothing.
+        A dropped body accepts everything and holds nothing. One that is kept in memory may run ahead of its reader as
+        far as it will be kept: it takes no more memory by that, and its end does not wait for a slow reader.
         """
         if self.state is DROPPED:
             return MAX_SLICE_BYTES
         space = self.memory.window_bytes - (self.size - self._position)
+        if self.is_kept:
+            space = max(space, self.memory.keepable_bytes(self.size))
         if space > 0:
             return space
         self.is_writer_blocked = True  # until `on_space` is called, even if a later call finds space
--- a/brackenpulley/bodies/memory.py
+++ b/brackenpulley/bodies/memory.py
@@ -62,6 +62,10 @@
         self.kept_bytes += size
         return True
 
+    def keepable_bytes(self, body_size: int) -> int:
+        """Returns how many more bytes of a body that has `body_size` bytes would be kept."""
+        return min(MAX_KEPT_BODY_BYTES - body_size, self.max_kept_bytes - self.kept_bytes)
+
     def release(self, size: int) -> None:
         """Stops counting `size` kept bytes."""
         self.kept_bytes -= size
--- a/brackenpulley/bodies/pace.py
+++ b/brackenpulley/bodies/pace.py
@@ -9,7 +9,8 @@
 | a part of the body, none of it lately | `STALL_TIMEOUT_SECONDS` have passed since its last byte; for the first  |
 |                                       | message `FIRST_MESSAGE_STALL_TIMEOUT_SECONDS`, once                     |
 |                                       | `HEAD_TIMEOUT_SECONDS` have passed since connecting                     |
-| a part of the body, reading is paused | never: time in which this ingress does not read is not counted          |
+| a part of the body, reading is paused | never: time in which this ingress does not read is not counted; but the |
+|                                       | message's own time runs while its server takes nothing                  |
 """
 
 from __future__ import annotations
@@ -24,7 +25,15 @@
 class Pace:
     """Measures how fast the messages of one connection arrive. Times are in seconds, on the caller's clock."""
 
-    __slots__ = ("message_started_at", "body_started_at", "last_progress_at", "paused_at", "is_first_message")
+    __slots__ = (
+        "message_started_at",
+        "body_started_at",
+        "last_progress_at",
+        "paused_at",
+        "is_first_message",
+        "taken_bytes",
+        "taken_at",
+    )
 
     def __init__(self, now: float) -> None:
         self.is_first_message = True  # its timeout for the headers runs from the time of connecting
@@ -32,6 +41,7 @@
         self.body_started_at = 0.0  # when the headers were complete; 0 before that
         self.last_progress_at = now  # last byte of the body, or the end of the last pause
         self.paused_at = 0.0  # since when nothing is read; 0 while reading
+        self.taken_bytes, self.taken_at = 0, now  # of the body by a server, and when that changed last
 
     def begin_message(self, now: float) -> None:
         """Records the first byte of a message."""
@@ -50,6 +60,15 @@
             self.body_started_at += now - self.paused_at
             self.last_progress_at, self.paused_at = now, 0.0
 
+    def record_taken(self, now: float, taken_bytes: int) -> None:
+        """Records how much of the body its server has taken."""
+        if taken_bytes != self.taken_bytes:
+            self.taken_bytes, self.taken_at = taken_bytes, now
+
+    def has_server_stalled(self, now: float, timeout: float) -> bool:
+        """Returns whether reading has been paused for `timeout` seconds by a server that took nothing."""
+        return bool(self.paused_at) and now - max(self.paused_at, self.taken_at) > timeout
+
     def has_timed_out(self, now: float, size: int) -> bool:
         """Returns whether the message must be given up; `size` is the number of bytes received of its body."""
         if self.paused_at:
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -277,6 +277,15 @@
             exchange.timer = self.timers.call_at(exchange.deadline, lambda: self._handle_timeout(exchange))
         self._enqueue(interface.BodyComplete(exchange.message.id))
 
+    def expire_body(self, exchange: Exchange) -> None:
+        """Ends the relay of a message whose long body its server does not take within the message's time.
+
+        The server has not run it. There is no time left to send it to another one.
+        """
+        if exchange.has_relay and not exchange.is_finished:
+            exchange.drop()
+            self._handle_result(exchange, exchange.attempt, RelayResult("connect_failed", is_permanent=True))
+
     def disconnect(self, exchange: Exchange) -> None:
         """Ends the exchange of a client that has disconnected."""
         if exchange.is_streaming:  # the rest of the answer has no reader; this is no failure of the sim server
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -713,6 +713,13 @@
             ):
                 client.keep_alive = False
                 self._abandon(client, 408)
+            elif (
+                client.exchange is not None
+                and client.exchange.message.is_body_pending
+                and self._has_server_stalled(client, now)
+            ):
+                self.metrics.add("bodies_not_taken")
+                self.ingress.expire_body(client.exchange)
             elif (
                 not client.is_busy
                 and not client.reader.is_partial
@@ -726,6 +733,13 @@
         if self.listener is not None or self.clients:
             self.loop.call_in(SWEEP_INTERVAL_SECONDS, self._sweep)
 
+    def _has_server_stalled(self, client: ClientConnection, now: float) -> bool:
+        """Return whether the server has taken nothing of the client's body for as long as the client waits."""
+        assert client.exchange is not None
+        if client.request_body is not None:
+            client.pace.record_taken(now, client.request_body.taken_bytes)
+        return client.pace.has_server_stalled(now, client.exchange.message.timeout)
+
     def _has_stopped_reading(self, client: ClientConnection, now: float) -> bool:
         """Return whether the client, for which output is pending, reads nothing any more."""
         acknowledged = sockets.acknowledged_bytes(client.sock)
--- a/tests/test_long_messages_in_time.py
+++ b/tests/test_long_messages_in_time.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
+import copy
+import socket
+from typing import Any
+
 import pytest
 
+from brackenpulley.address import Address
+from brackenpulley.net import sockets, south
 from brackenpulley.net.http import MAX_BUFFERED_BODY_BYTES
 from brackenpulley.net.south import STALL_TIMEOUT_SECONDS
 from brackenpulley.policy import interface
 
 from .rig import RawConnection, Rig, rig
 from .test_bodies import chunked, noise
+from .test_link import SETTINGS
 
 CLIENT_TIMEOUT_SECONDS = 9.0
 LEFT_SECONDS = 0.5  # of the client's time, when its answer begins
@@ -100,3 +108,74 @@
         server.send(encode_part("chunked", body[BEGUN_BYTES:]) + b"0\r\n\r\n")
         assert b"200" in client.read_until(b"\r\n\r\n") and chunked(client) == body
         assert harness.count("relays") == 1 and harness.count("relay_cancelled") == 0
+
+
+CONNECT = sockets.connect
+SHORT_TIMEOUT_SECONDS = 1.0
+LATE_SECONDS = 0.5  # by which an answer may come after its time without being lost
+UPLOAD_STEP_SECONDS = 0.05
+
+
+def settings_for_short_times(effect: str) -> dict[str, Any]:
+    """Settings of a class whose messages are let in though they have little time."""
+    settings: dict[str, Any] = copy.deepcopy(SETTINGS)
+    settings["Classes"][0].update(Objective=0.2, GiveUp=20.0, Idempotency=effect, Group="all", Window=4.0)
+    settings["Extra"] = {"MayCount": False, "Settles": True, "MostUnits": 8}
+    settings["Limits"].update(AttemptsCap=3, MayCancel=True, RetryAfter=True, MaxRetryAfter=2.0)
+    return settings
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+@pytest.mark.parametrize(
+    ("size", "server_bytes_per_second"),
+    [(400_000, 0), (800_000, 0), (3_000_000, 0), (12_000_000, 0), (400_000, 60_000), (800_000, 60_000)],
+)
+def test_a_body_that_its_server_does_not_read_in_time_is_answered_in_time(
+    form: str, size: int, server_bytes_per_second: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a message whose time does not begin because its server reads nothing, or slowly."""
+    monkeypatch.setattr(south.sockets, "connect", connect_with_small_buffer)
+    with rig(servers=3, settings=settings_for_short_times("guarded")) as harness:
+        for peer in harness.servers.values():
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        more = "Transfer-Encoding: chunked\r\n" if form == "chunked" else f"Content-Length: {size}\r\n"
+        body = noise(size)
+        framed = encode_part(form, body) + b"0\r\n\r\n" if form == "chunked" else body
+        timeout = f"{SHORT_TIMEOUT_SECONDS * 1000:.0f}m"
+        client = harness.send_request(1, timeout=timeout, method="POST", more=more)
+        harness.freeze_clock()
+        waited, servers = 0.0, list[RawConnection]()  # seconds since the client could write something last
+        while not client.received and waited < 20:
+            unsent = len(framed)
+            framed = send_what_fits(client, framed)
+            waited = waited + UPLOAD_STEP_SECONDS if len(framed) == unsent else 0.0
+            servers += [wire for peer in harness.servers.values() if (wire := peer.try_accept())]
+            for server in servers:
+                read_up_to(server, int(server_bytes_per_second * UPLOAD_STEP_SECONDS))
+            harness.clock_offset += UPLOAD_STEP_SECONDS
+            for _ in range(20):
+                harness.step_clock(0.0)
+            client.receive()
+        assert client.received[9:12] == b"503"
+        assert waited <= SHORT_TIMEOUT_SECONDS + LATE_SECONDS
+
+
+def connect_with_small_buffer(address: Address) -> socket.socket:
+    """Connect to a server through a send buffer that does not take the whole body."""
+    sock = CONNECT(address)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+    return sock
+
+
+def send_what_fits(client: RawConnection, data: bytes) -> bytes:
+    """Send as much as the socket takes now and return the rest."""
+    try:
+        return data[client.sock.send(data) :] if data else data
+    except BlockingIOError:
+        return data
+
+
+def read_up_to(server: RawConnection, size: int) -> None:
+    """Read that many bytes at most."""
+    with contextlib.suppress(OSError):
+        server.sock.recv(size)
