Ask whether a client has left when its message is taken up, and remember what it left

Cause: only a connection's first message, or one after a slow turn, was held against the end of the connection; and an exchange is forgotten once its client has left. Ruled out by tests that passed before: queued requests, bodies that are not whole.

--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -19,6 +19,9 @@
 from .message import Message, check_message
 
 UNSTORED_RETRY_AFTER_SECONDS = 1.0  # for a message refused because the ledger cannot store its charge
+# For which an id is remembered whose client left while its message may have run, and how many at most.
+LEFT_ID_SECONDS = 60.0
+MAX_LEFT_IDS = 4096
 NOT_READY_RETRY_AFTER_SECONDS = 0.5  # for a message refused because the ingress cannot serve yet
 
 
@@ -135,6 +138,7 @@
         self.decision_module, self.clock, self.timers, self.counter = decision_module, clock, timers, counter
         self.metrics, self.log = metrics, log
         self.exchanges: dict[str, Exchange] = {}
+        self.left_ids: dict[str, float] = {}  # when the client left of a message that may have run; oldest first
         self.has_server_list = False
         self.authoriser: Authoriser | None = None
         self.fail_open = False  # whether a message without a verdict is allowed; otherwise it gets a 503
@@ -171,13 +175,14 @@
     ) -> Exchange | None:
         """Starts the exchange of a message; `reply` gets its final answer. Raises MessageError.
 
-        Returns None, and never calls `reply`, if a message with the same id is in progress. A message that arrives
-        while `is_serving` is false is refused at once (see policy/drain).
+        Returns None, and never calls `reply`, if a message with the same id is in progress, or may have run although
+        its client left without an answer. A message that arrives while `is_serving` is false is refused at once (see
+        policy/drain).
         """
         if self.plans is not None:
             message.plan, message.revision = self.plans.plan_of(message.firm, message.requested_plan)
         check_message(message, self.decision_module.settings, self.decision_module.plans)
-        if message.id in self.exchanges:
+        if message.id in self.exchanges or self.left_ids and self._has_left(message.id):
             return None
         self.metrics.add("messages")
         metrics, priority_class = self.metrics, message.priority_class
@@ -301,11 +306,27 @@
             exchange.pending_call = None
             self._release(exchange)
             return
+        if exchange.attempt >= 0:
+            self._remember_left(exchange.message.id)
         self._enqueue(interface.ClientGone(exchange.message.id))
         if exchange.has_relay and exchange.recall():  # even where attempts must not be cancelled: this one was not sent
             self._handle_result(exchange, exchange.attempt, RelayResult("moot"))
         self._release(exchange)
 
+    def _remember_left(self, message_id: str) -> None:
+        """Remembers an id that must not run again: its message was sent to a server, and its client has left."""
+        oldest = self.clock() - LEFT_ID_SECONDS
+        while self.left_ids:
+            first, left_at = next(iter(self.left_ids.items()))
+            if left_at >= oldest and len(self.left_ids) < MAX_LEFT_IDS:
+                break
+            del self.left_ids[first]
+        self.left_ids[message_id] = self.clock()
+
+    def _has_left(self, message_id: str) -> bool:
+        """Returns whether the client of a message with this id has left while it may have run."""
+        return self.left_ids.get(message_id, -inf) >= self.clock() - LEFT_ID_SECONDS
+
     def update_servers(self, change: interface.ServerList) -> None:
         """Passes a new or changed list of sim servers to the decision module."""
         self.has_server_list = self.has_server_list or bool(change.entries)
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -282,14 +282,6 @@
         if client.is_busy:
             self._limit_pipelining(client)
         else:
-            if (
-                reader.complete
-                and (self.loop.is_lagging or not client.message_number)
-                and sockets.peek(client.sock) == b""
-            ):
-                self.metrics.add("gone_unheard")  # the client disconnected before its message was read
-                self.close(client)
-                return
             self._start_next_message(client)
         if reader.is_partial or reader.complete or client.held_bytes or client.payload_bytes:
             self._account_input(client)
@@ -386,6 +378,10 @@
             if client.reader.unqueued_count:
                 self._reject_unqueued(client)
             return
+        if sockets.has_peer_closed(client.sock):
+            self.metrics.add("gone_unheard")  # the client disconnected before its message was taken up
+            self.close(client)
+            return
         payload, keep_alive = client.reader.complete.popleft()
         if client.reader.complete:
             self._limit_pipelining(client)
