Do not repeat a message by group at the address where its connection broke

Cause: for a message that may have run, pick_best asks only whether a server is of the first one's group, which the first one is; its address may belong to another process by then. Ruled out: connections are kept by id and address and checked before each write.

Change: a message whose repeats are dropped by a group alone is not repeated where a connection broke under it.

--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -227,6 +227,8 @@
             return
         effect = pending.rate_controller.spec.effect
         pending.record_ended(outcome.status not in NOT_REACHED_STATUSES, outcome.status not in NOT_RUN_STATUSES)
+        if outcome.status == "reset":
+            pending.broken_servers += (outcome.server,)
         if firm := pending.firm:
             firm.in_flight -= 1
             if outcome.cost and self.settings.settles:
@@ -637,6 +639,9 @@
             warmth = server.compute_warmth(now, self.settings) if server.may_be_cold else 1.0
             is_excluded = (
                 not first_server.deduplicates_with(server, spec.group)
+                # Until the list tells more, a new process of another group may have taken the server's address.
+                or spec.group != "all"
+                and server.entry.server in pending.broken_servers
                 if first_server
                 else server is pending.server and has_alternatives
             )
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -448,6 +448,7 @@
     attempts: int = 0
     first_run_at: float | None = None  # when the first relay that may have run was sent
     first_run_server: Server | None = None
+    broken_servers: tuple[str, ...] = ()  # where a connection broke under it: another process may be there now
     server: Server | None = None  # of the last relay
     sent_at: float = 0.0  # when the last relay was sent
     is_in_flight: bool = False
