Do not take a connection between two queued requests for an idle one

Ruled out: deadlines, SIGKILL, the limit of eight.

Change: ClientConnection.is_idle and is_awaiting_rest replace four conditions and look at the queue.

--- a/brackenpulley/net/client_connection.py
+++ b/brackenpulley/net/client_connection.py
@@ -85,12 +85,30 @@
         body = self.request_body or self.reader.open_body
         return self.reader.held_bytes + self.payload_bytes + (body.held_bytes if body is not None else 0)
 
+    @property
+    def is_free(self) -> bool:
+        """Whether no request is in progress or queued and no response is left to be written.
+
+        Between two queued requests a connection is not busy for a moment, and not free either.
+        """
+        return not (self.is_busy or self.reader.complete or self.reader.unqueued_count or self.outgoing)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it is free and nothing of a next request has been received."""
+        return self.is_free and not self.reader.is_partial
+
+    @property
+    def is_awaiting_rest(self) -> bool:
+        """Whether it is free but for a request that has been received in part."""
+        return self.is_free and self.reader.is_partial
+
     @property
     def is_receiving(self) -> bool:
         """Whether a request is not whole yet and nothing but its rest is waited for, so that it can be refused."""
         if self.exchange is not None:
             return self.exchange.message.is_body_pending
-        return not self.is_busy and self.reader.is_partial
+        return self.is_awaiting_rest
 
     @property
     def last_input_at(self) -> float:
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -174,22 +174,12 @@
         for client in self.unproven:  # connections that send nothing must not shut out clients with messages
             if client.last_progress > grace_start:
                 break
-            if (
-                not client.is_busy
-                and not client.outgoing
-                and (client.reader.is_partial or not self._has_unread_input(client))
-            ):
+            if client.is_awaiting_rest or client.is_idle and not self._has_unread_input(client):
                 self.metrics.add("strangers_closed")
                 self._half_close(client)
                 return True
         for client in self.clients:
-            if (
-                client.message_number
-                and not client.is_busy
-                and not client.reader.is_partial
-                and not client.outgoing
-                and (not self._has_unread_input(client))
-            ):
+            if client.message_number and client.is_idle and not self._has_unread_input(client):
                 self._half_close(client)
                 return True
         return False
@@ -694,11 +684,7 @@
             elif client.outgoing:
                 if self._has_stopped_reading(client, now):
                     self.close(client)
-            elif (
-                not client.is_busy
-                and client.reader.is_partial
-                and client.pace.has_timed_out(now, client.reader.body_bytes)
-            ):
+            elif client.is_awaiting_rest and client.pace.has_timed_out(now, client.reader.body_bytes):
                 client.is_busy, client.keep_alive = True, False
                 self._respond(client, 408)
             elif (
@@ -717,8 +703,7 @@
                 self.metrics.add("bodies_not_taken")
                 self.ingress.expire_body(client.exchange)
             elif (
-                not client.is_busy
-                and not client.reader.is_partial
+                client.is_idle
                 and not self._has_unread_input(client)
                 and (
                     self.drain.closes_idle
@@ -765,19 +750,14 @@
     def close_idle(self) -> None:
         """Half-close all idle connections."""
         for client in list(self.clients):
-            if (
-                not client.is_busy
-                and not client.reader.is_partial
-                and not client.outgoing
-                and not self._has_unread_input(client)
-            ):
+            if client.is_idle and not self._has_unread_input(client):
                 self._half_close(client)
 
     def reject_partial_requests(self) -> None:
         """Respond 408 to partial requests, which could no longer be answered before the process is killed."""
         for client in list(self.clients):
-            if not client.is_busy and client.reader.is_partial and self._has_unread_input(client):
+            if client.is_awaiting_rest and self._has_unread_input(client):
                 self._on_readable(client)  # the rest may have arrived
-            if client in self.clients and not client.is_busy and client.reader.is_partial:
+            if client in self.clients and client.is_awaiting_rest:
                 client.is_busy, client.keep_alive = True, False
                 self._respond(client, 408)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -228,6 +228,36 @@
         harness.run_until(lambda: not harness.daemon.loop.running)
 
 
+@pytest.mark.parametrize("behind", ["nothing", "a part of another"])
+@pytest.mark.parametrize("what", ["close_idle", "sweep", "evict", "reject_partial_requests"])
+def test_a_connection_between_two_queued_messages_is_not_taken_for_an_idle_one(what: str, behind: str) -> None:
+    """Guards against review case 7: at SIGTERM messages that waited behind one in hand got no answer."""
+    with rig() as harness:
+        wire = harness.send_request(1)
+        _, server = harness.accept_relay()
+        server.read_http()
+        harness.send_request(2, wire=wire)
+        if behind == "a part of another":
+            wire.send(request_head(3)[:30])
+        harness.run_until(lambda: any(client.reader.complete for client in harness.daemon.north.clients))
+        north = harness.daemon.north
+        (client,) = north.clients
+        start_next, north._start_next_message = north._start_next_message, lambda client: None  # type: ignore[method-assign]
+        server.send(OK)
+        assert wire.read_http()[0] == 200
+        harness.run_until(lambda: not client.is_busy)
+        harness.daemon.drain.is_ending = True
+        north.unproven[client] = None  # whether or not it has proven itself
+        harness.clock_offset += 10.0
+        call = {"close_idle": north.close_idle, "sweep": north._sweep, "evict": north._evict}.get(what)
+        (call or north.reject_partial_requests)()
+        north._start_next_message = start_next  # type: ignore[method-assign]
+        start_next(client)
+        server.read_http()  # on the connection that the first one used
+        server.send(OK)
+        assert wire.read_http()[0] == 200
+
+
 def test_a_partial_message_at_sigterm_times_out_before_sigkill() -> None:
     """With deadlines of half a second, SIGKILL comes 1.2 s after SIGTERM: a message complete at 1.1 s would be lost,
     one answered with an error at 0.7 s is not."""
