--- a/brackenpulley/ledger/files.py
+++ b/brackenpulley/ledger/files.py
@@ -93,7 +93,9 @@
         if not last and kind == "csv" and file.tell() == 0:
             file.write((",".join(COLUMNS) + "\n").encode())
         encoded_entries: list[bytes] = []
-        for entry in store.read_entries(start):
+        for expected, entry in enumerate(store.read_entries(start), start):
+            if entry.seq != expected:
+                raise LedgerError(f"{path}: entries {expected} to {entry.seq - 1} were deleted during the export")
             encoded_entries.append(_encode_entry(entry, kind))
             count += 1
             if len(encoded_entries) == ENTRIES_PER_WRITE:
--- a/brackenpulley/ledger/store.py
+++ b/brackenpulley/ledger/store.py
@@ -21,6 +21,7 @@
 import secrets
 import struct
 from collections.abc import Iterator
+from itertools import islice
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,7 @@
 
 FORMAT_VERSION = 1
 LOG_BYTES = 1 << 20
+ENTRIES_PER_SNAPSHOT = 500  # read at a time
 DEFAULT_CHECKPOINT_INTERVAL_SECONDS = 1.0  # if each record is flushed to disk
 RECORD_HEADER = struct.Struct("<II")  # length and xxh32 checksum of the body that follows
 Use = tuple[str, int, str, int, float, float]  # id, firm, plan, revision, units, since; see Tally.charge
@@ -236,6 +238,8 @@
         Raises LedgerError, and then nothing is stored.
         """
         try:
+            # The snapshot of a process that died while it read keeps all pages freed since, until this is done.
+            self.env.reader_check()
             with self.env.begin(write=True) as transaction:
                 for key, total in changed_sums.items():
                     if total is None:
@@ -331,14 +335,28 @@
         return [(first, last, replay) for first, last, replay in rows]
 
     def read_entries(self, first: int = 1, max_count: int = 0) -> Iterator[Entry]:
-        """Yields entries from sequence number `first` on, at most `max_count` of them; 0 for no limit."""
+        """Yields entries from sequence number `first` on, at most `max_count` of them; 0 for no limit.
+
+        No snapshot is held while an entry is used: that would keep the pages which a daemon frees meanwhile. Entries
+        that are deleted in between are left out.
+        """
+        count = 0
+        while True:
+            left = max_count - count if max_count else ENTRIES_PER_SNAPSHOT
+            batch = self._read_batch(first, min(left, ENTRIES_PER_SNAPSHOT))
+            yield from batch
+            count += len(batch)
+            if len(batch) < ENTRIES_PER_SNAPSHOT:
+                return
+            first = batch[-1].seq + 1
+
+    def _read_batch(self, first: int, max_count: int) -> list[Entry]:
         with self.env.begin() as transaction:
             cursor = transaction.cursor(db=self._entries_db)
-            if cursor.set_range(encode_seq(first)):
-                for count, value in enumerate(cursor.iternext(keys=False, values=True)):
-                    if max_count and count >= max_count:
-                        break
-                    yield _entry_decoder.decode(value)
+            if not cursor.set_range(encode_seq(first)):
+                return []
+            values = islice(cursor.iternext(keys=False, values=True), max_count)
+            return [_entry_decoder.decode(value) for value in values]
 
     def read_totals(self) -> Totals:
         """Returns the micro-units of the retained entries by firm, plan and revision."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -221,6 +221,63 @@
     return store, tally
 
 
+READ_UNTIL_KILLED = """
+import sys
+from brackenpulley.ledger.store import Store
+store = Store(sys.argv[1])
+with store.env.begin() as transaction:
+    transaction.get(b"heads", db=store._meta_db)
+    print("reading", flush=True)
+    sys.stdin.read()
+"""
+
+
+def test_a_reader_that_was_killed_does_not_make_the_store_grow(tmp_path: Path) -> None:
+    """Guards against review case 9: the snapshot of an export that was killed kept every page that was freed since."""
+    store, tally = fill_store(tmp_path, firms=200)
+    command = [sys.executable, "-c", READ_UNTIL_KILLED, str(tmp_path)]
+    with subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as reader:
+        assert reader.stdout is not None and reader.stdout.readline() == b"reading\n"
+        reader.send_signal(signal.SIGKILL)
+    for turn in range(20):
+        for firm in range(200):
+            tally.charge(firm, "school", 0, 1.0, START_TIME + 300)
+        checkpoint(store, tally, [])
+        if turn == 4:
+            settled_bytes = store.used_bytes()
+    assert store.used_bytes() <= settled_bytes
+    store.close()
+
+
+def test_a_reader_that_pauses_between_entries_holds_no_snapshot(tmp_path: Path) -> None:
+    """Guards against the same by an export that is slow or stopped."""
+    store, tally = fill_store(tmp_path, periods=8, firms=200)
+    entries = store.read_entries(1)
+    seen = [next(entries).seq]
+    for turn in range(20):
+        for firm in range(200):
+            tally.charge(firm, "school", 0, 1.0, START_TIME + 600)
+        checkpoint(store, tally, [])
+        if turn == 4:
+            settled_bytes = store.used_bytes()
+    assert store.used_bytes() <= settled_bytes
+    seen += [entry.seq for entry in entries]
+    assert seen == list(range(1, 1601)) and [e.seq for e in store.read_entries(700, 601)] == list(range(700, 1301))
+    store.close()
+
+
+def test_an_export_tells_of_entries_that_are_deleted_while_it_runs(tmp_path: Path) -> None:
+    store, tally = fill_store(tmp_path / "store", periods=8, firms=200)
+    path = str(tmp_path / "use.jsonl")
+    running = files.export(store, path, "jsonl")
+    assert next(running) == 500
+    tally.state.acked_seq = 900
+    store.drop(tally.state, 900)
+    with pytest.raises(LedgerError, match="entries 501 to 900 were deleted"):
+        list(running)
+    store.close()
+
+
 def find_faults(store: Store) -> list[str]:
     return [fault for fault, _ in store.verify() if fault]
 
