Look at the account of input memory by attributes, without a call for each read

Change: the account keeps what each read looks at as attributes; the length of the queue is asked for only where there is one.

--- a/brackenpulley/net/input_memory.py
+++ b/brackenpulley/net/input_memory.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from .pool import BUFFER_BYTES
+
 # In objects, beside the bytes on the wire: a header field, and a request.
 FIELD_OVERHEAD_BYTES = 150
 REQUEST_OVERHEAD_BYTES = 500
@@ -16,22 +18,25 @@
 
 
 class InputMemory:
-    """The account. Sizes are in bytes."""
+    """The account. Sizes are in bytes.
+
+    `is_exceeded`: more is held than the limit. `max_read_bytes`: may be read at once from a connection, less and
+    less once half of the limit is used. Both are attributes, as each read looks at them.
+    """
 
-    __slots__ = ("limit_bytes", "used_bytes")
+    __slots__ = ("limit_bytes", "used_bytes", "is_exceeded", "max_read_bytes")
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = max(MIN_LIMIT_BYTES, limit_bytes)
         self.used_bytes = 0
+        self.is_exceeded = False
+        self.max_read_bytes = BUFFER_BYTES
 
-    @property
-    def is_exceeded(self) -> bool:
-        """Whether more is held than the limit."""
-        return self.used_bytes > self.limit_bytes
-
-    def limit_read(self, max_bytes: int) -> int:
-        """Return how many of `max_bytes` may be read at once: less and less once half of the limit is used."""
+    def change(self, by_bytes: int) -> None:
+        """Count that a connection holds more, or less, by so many bytes."""
+        self.used_bytes += by_bytes
         left = self.limit_bytes - self.used_bytes
-        if left >= self.limit_bytes // 2:
-            return max_bytes
-        return min(max_bytes, max(MIN_RELIEF_BYTES, left // 4))
+        self.is_exceeded = left < 0
+        self.max_read_bytes = BUFFER_BYTES
+        if left < self.limit_bytes // 2:
+            self.max_read_bytes = min(BUFFER_BYTES, max(MIN_RELIEF_BYTES, left // 4))
--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -215,9 +215,7 @@
     def _on_readable(self, client: ClientConnection) -> None:
         open_body = client.reader.open_body
         if not (
-            room := self.input_memory.limit_read(BUFFER_BYTES)
-            if open_body is None
-            else self._readable_bytes(client, open_body)
+            room := self.input_memory.max_read_bytes if open_body is None else self._readable_bytes(client, open_body)
         ):
             self._update_interest(client)
             return
@@ -282,7 +280,7 @@
     def _account_input(self, client: ClientConnection) -> None:
         """Enter what a connection holds now in the account; nothing once it is closed or answers no more."""
         held = client.measure_input() if client in self.clients and client not in self.half_closed else 0
-        self.input_memory.used_bytes += held - client.held_bytes
+        self.input_memory.change(held - client.held_bytes)
         client.held_bytes = held
 
     def _relieve_memory(self) -> None:
@@ -607,7 +605,8 @@
         if client.is_reading and (
             client.is_unparsed
             or client.discard_until
-            or not (client.is_busy and self._is_input_crowded(reader))
+            or not (client.is_busy and open_body is None and self.input_memory.is_exceeded)
+            and not (client.is_busy and reader.complete and reader.count_queued_bytes() > MAX_QUEUED_BODY_BYTES)
             and (open_body is None or self._readable_bytes(client, open_body))
         ):
             events |= READ
@@ -619,12 +618,6 @@
                 self._peer_check_timer = self.loop.call_in(PEER_CHECK_INTERVAL_SECONDS, self._check_peers)
         self.loop.set_interest(client.sock, events, lambda events: self._on_event(client, events))
 
-    def _is_input_crowded(self, reader: RequestReader) -> bool:
-        """Return whether nothing more is read behind the message in progress."""
-        if reader.complete and reader.count_queued_bytes() > MAX_QUEUED_BODY_BYTES:
-            return True
-        return reader.open_body is None and self.input_memory.is_exceeded
-
     def _check_peers(self) -> None:
         """Close connections whose clients left while reading was paused, so that no work is started for them."""
         self._peer_check_timer = None
--- a/brackenpulley/net/requests.py
+++ b/brackenpulley/net/requests.py
@@ -238,7 +238,7 @@
 
     def _queue(self, payload: Payload) -> None:
         assert self._parser is not None
-        if len(self.complete) >= self._max_queued:
+        if self.complete and len(self.complete) >= self._max_queued:
             self.unqueued_count += 1
             return
         keep_alive = self._parser.should_keep_alive()
