Share the ids in hand between the two processes of an upgrade

Cause: both processes accept at one address, and each knows its own exchanges alone.

Change: while another process beats in $TMPDIR's file, ids in hand or left at a server are claimed there; the other one answers 409. Without another process, or without $TMPDIR, no message pays for it.

--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -104,6 +104,17 @@
         """Processes a change of the plans of firms, or of the figures of their plans."""
 
 
+class IdClaims(Protocol):
+    """The ids that the processes of an upgrade have in hand."""
+
+    def claim(self, message_id: str, seconds: float = ...) -> bool:
+        """Claims an id; returns False where another process has it."""
+        ...
+
+    def release(self, message_id: str) -> None:
+        """Gives up the claim of an id."""
+
+
 class LoadObserver(Protocol):
     """Receives the load that sim servers report."""
 
@@ -147,6 +158,7 @@
         self.reservations: Reservations | None = None
         self.leases: Leases | None = None
         self.load_observer: LoadObserver | None = None
+        self.id_claims: IdClaims | None = None  # while another process serves at the same address
         # The decision module's answer to the reservation that `reserve` is requesting.
         self._reservation_result: interface.Reserved | interface.Refuse | None = None
         # Requests the list of sim servers. Does nothing where discovery pushes changes.
@@ -175,15 +187,17 @@
     ) -> Exchange | None:
         """Starts the exchange of a message; `reply` gets its final answer. Raises MessageError.
 
-        Returns None, and never calls `reply`, if a message with the same id is in progress, or may have run although
-        its client left without an answer. A message that arrives while `is_serving` is false is refused at once (see
-        policy/drain).
+        Returns None, and never calls `reply`, if a message with the same id is in progress, here or at another process
+        of an upgrade, or may have run although its client left without an answer. A message that arrives while
+        `is_serving` is false is refused at once (see policy/drain).
         """
         if self.plans is not None:
             message.plan, message.revision = self.plans.plan_of(message.firm, message.requested_plan)
         check_message(message, self.decision_module.settings, self.decision_module.plans)
         if message.id in self.exchanges or self.left_ids and self._has_left(message.id):
             return None
+        if self.id_claims is not None and not self.id_claims.claim(message.id):
+            return None
         self.metrics.add("messages")
         metrics, priority_class = self.metrics, message.priority_class
 
@@ -322,6 +336,8 @@
                 break
             del self.left_ids[first]
         self.left_ids[message_id] = self.clock()
+        if self.id_claims is not None:
+            self.id_claims.claim(message_id, LEFT_ID_SECONDS)
 
     def _has_left(self, message_id: str) -> bool:
         """Returns whether the client of a message with this id has left while it may have run."""
@@ -524,6 +540,8 @@
     def _release(self, exchange: Exchange) -> None:
         if exchange.is_finished and not exchange.has_relay:
             self.exchanges.pop(exchange.message.id, None)
+            if self.id_claims is not None and exchange.message.id not in self.left_ids:
+                self.id_claims.release(exchange.message.id)
 
     def _handle_count(self, action: interface.AddToCounter) -> None:
         self.metrics.add("counts")
--- a/brackenpulley/serve.py
+++ b/brackenpulley/serve.py
@@ -28,6 +28,7 @@
 from .metrics import Metrics, render_exposition
 from .net.console import Console
 from .net.counter import CounterClient
+from .net.id_sharing import IdSharing
 from .net.input_memory import InputMemory
 from .net.inventory import Discovery, Inventory
 from .net.loop import Loop
@@ -156,6 +157,7 @@
             InputMemory(memory.input_bytes),
             options.bodies.max_body_bytes,
         )
+        self.id_sharing = IdSharing(self.loop, self.ingress, log)
         self.console: Console | None = None
         self.discovery: Any = None
         self.authz_front: Any = None
@@ -229,6 +231,7 @@
             self.loop.add_signal_handler(signal.SIGUSR1, self.log_counters)
             self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         bound = self._listen("listen", self.north, self.config.listen)
+        self.id_sharing.start(bound)
         if self.authz_front is not None and self.config.operator.server is not None:
             checks_address = self._listen("authz.server.listen", self.authz_front, self.config.operator.server.listen)
             self.log.info("answering checks", address=f"{checks_address[0]}:{checks_address[1]}")
@@ -408,6 +411,7 @@
     def close(self) -> None:
         """Close every part, the loop last."""
         self.north.stop()
+        self.id_sharing.stop()
         if self.console is not None:
             self.console.stop()
         if self.authz_front is not None:
--- a/tests/live.py
+++ b/tests/live.py
@@ -105,6 +105,7 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.limits = {"cores": 1.0, "memory_mb": SMALLEST_MEMORY_MB, "sockets": 1024}
         self.config = config
+        self.environment: dict[str, str] = {"TMPDIR": str(folder)}
 
     def start(self, effect: str = "free", operator: str = "") -> None:
         """Start the process with a class `a` of that effect, a plan `p` and the servers' list as known."""
@@ -119,7 +120,7 @@
         (self.folder / "config.json").write_text(json.dumps({**raw, "limits": self.limits, **self.config}))
         (self.folder / "operator.toml").write_text(operator)
         self.process = start_daemon(
-            self.folder / "config.json", self.folder / "operator.toml", self.folder / "log", PYTHONPATH=""
+            self.folder / "config.json", self.folder / "operator.toml", self.folder / "log", **self.environment
         )
 
     @property
