Do not count a status of a process's life before for the next one in the trials

Cause (KNOWN-RED, 'n0 went back from 3 to 0', found by reading): an answer that was in the socket when its process was killed was taken after the next start, so the new life was held to the revision of the old one. Ruled out by the same: a voter that tells less within one life would have to lose its copy, which check_status would still report.

Change: an answer to a call of an earlier life is ignored, and a start forgets the status. The check itself is as it was.

Before: test_a_status_of_the_life_before_does_not_count_for_the_next_one failed. After: passes.

--- a/benchmarks/work_order.py
+++ b/benchmarks/work_order.py
@@ -153,6 +153,7 @@
         if how == "lost" and self.fleet.may_lose_disk(self):
             shutil.rmtree(self.folder / "log", ignore_errors=True)
         self.start_count += 1
+        self.status = {}  # what is known is of the life before
         self.popen = start_daemon(
             self.folder / "config.json",
             self.folder / "operator.toml",
@@ -288,8 +289,12 @@
         if not self.is_polling:
             return
 
+        start_count = process.start_count
+
         def on_status(status: int, body: Any) -> None:
-            if status == 200:
+            if process.start_count != start_count:  # the answer of a life that has ended meanwhile
+                self._poll(process)
+            elif status == 200:
                 process.status = body
                 agreed = body.get("agreement", {})
                 if agreed.get("role") == "leader" and agreed.get("current"):
