Log and count how attempts end that bring no whole answer

The south side gives a reason with each failure. test_the_core_imports_no_wire also looks at the new module, and allows 'enum', which does no I/O.

--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -12,7 +12,7 @@
 import h2.events
 
 from ..address import Address
-from ..core.exchange import Answer, Exchange, RelayResult
+from ..core.exchange import Answer, AnswerProgress, Exchange, RelayResult
 from ..core.ingress import Ingress
 from ..core.message import SECONDS_PER_UNIT, Message, MessageError
 from ..metrics import Metrics
@@ -72,6 +72,10 @@
         """Return False: no answer comes through here."""
         return False
 
+    def answer_progress(self) -> AnswerProgress:
+        """Return no progress: no answer comes through here."""
+        return AnswerProgress()
+
 
 class Call:
     """A Check call, from the headers of its stream until its answer is sent."""
--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any, Protocol
 
 from .message import Message
@@ -29,6 +30,24 @@
     is_streaming: bool = False  # the body is still being received; whether it is complete is known when the relay ends
 
 
+class AnswerStage(Enum):
+    """How far the answer to a relay has come."""
+
+    NONE = "none"  # not a byte of the final answer
+    PARTIAL_HEAD = "partial-head"
+    HEAD = "head"  # the whole head and no byte of the body
+    BODY = "body"  # a part of the body
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerProgress:
+    """What has come of the answer to a relay, for logs and metrics."""
+
+    stage: AnswerStage = AnswerStage.NONE
+    body_bytes: int = 0
+    quiet_seconds: float = 0.0  # since the relay's last byte in either direction; 0 if there was none
+
+
 @dataclass(slots=True)
 class RelayResult:
     """The result of a relay, with a status of `policy.interface.Outcome`.
@@ -43,6 +62,8 @@
     load: list[float] = field(default_factory=list)  # reported by the sim server, in the order of the settings' fields
     written_at: float = 0.0  # when the last byte of a long message was written; 0 for a short message
     is_permanent: bool = False  # it failed on a limit of this ingress, so another attempt would fail as well
+    reason: str = ""  # why it ended without an answer, for the log
+    progress: AnswerProgress = AnswerProgress()  # what had come of the answer when it ended without a whole one
 
 
 @dataclass(slots=True)
@@ -93,6 +114,10 @@
         Returns False if there is none, or if it does not flow any more. Otherwise `on_streaming` has been called.
         """
 
+    def answer_progress(self) -> AnswerProgress:
+        """Returns how far the answer has come."""
+        ...
+
 
 class South(Protocol):
     """Starts relays to sim servers."""
@@ -199,6 +224,10 @@
         """Clears the relay whose result was processed, so that another one may start."""
         self.server, self.is_streaming = "", False
 
+    def answer_progress(self) -> AnswerProgress:
+        """Returns how far the answer to the relay in flight has come."""
+        return AnswerProgress() if self._relay is None else self._relay.answer_progress()
+
     def drop(self) -> bool:
         """Cancels the relay in flight and ignores its result. Returns whether the sim server may have run it."""
         relay, self._relay = self._relay, None
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -15,6 +15,7 @@
 from ..metrics import OUTCOME_COUNTERS, Metrics
 from ..policy import interface
 from ..policy.brain import DecisionModule
+from .attempt_log import AttemptLog
 from .exchange import Answer, Authoriser, Exchange, PendingCall, RelayResult, South, Verdict
 from .message import Message, check_message
 
@@ -148,6 +149,7 @@
     ) -> None:
         self.decision_module, self.clock, self.timers, self.counter = decision_module, clock, timers, counter
         self.metrics, self.log = metrics, log
+        self._attempt_log = AttemptLog(log, metrics, clock)
         self.exchanges: dict[str, Exchange] = {}
         self.left_ids: dict[str, float] = {}  # when the client left of a message that may have run; oldest first
         self.has_server_list = False
@@ -302,15 +304,19 @@
         The server has not run it. There is no time left to send it to another one.
         """
         if exchange.has_relay and not exchange.is_finished:
+            progress = exchange.answer_progress()
             exchange.drop()
-            self._handle_result(exchange, exchange.attempt, RelayResult("connect_failed", is_permanent=True))
+            result = RelayResult("connect_failed", is_permanent=True, reason="body not taken", progress=progress)
+            self._handle_result(exchange, exchange.attempt, result)
 
     def disconnect(self, exchange: Exchange) -> None:
         """Ends the exchange of a client that has disconnected."""
         if exchange.is_streaming:  # the rest of the answer has no reader; this is no failure of the sim server
+            progress = exchange.answer_progress()
             exchange.drop()
             exchange.is_client_gone = True
-            self._handle_result(exchange, exchange.attempt, RelayResult("cancelled"))
+            result = RelayResult("cancelled", reason="client left", progress=progress)
+            self._handle_result(exchange, exchange.attempt, result)
         if exchange.is_finished:
             return
         self.metrics.add("gone")
@@ -324,7 +330,7 @@
             self._remember_left(exchange.message.id)
         self._enqueue(interface.ClientGone(exchange.message.id))
         if exchange.has_relay and exchange.recall():  # even where attempts must not be cancelled: this one was not sent
-            self._handle_result(exchange, exchange.attempt, RelayResult("moot"))
+            self._handle_result(exchange, exchange.attempt, RelayResult("moot", reason="client left"))
         self._release(exchange)
 
     def _remember_left(self, message_id: str) -> None:
@@ -430,6 +436,8 @@
             timeout = deadline - now
             exchange.timer = self.timers.call_at(deadline, lambda: self._handle_timeout(exchange))
         self.metrics.add_for_server("relays", action.server)
+        if exchange.attempt >= 0:
+            self._attempt_log.retry_started(exchange, action.server)
         if self.reservations is not None and exchange.attempt < 0 and exchange.message.reservation:
             self.reservations.used(exchange.message)
         exchange.relay(action.server, now, timeout, self._handle_result, self._start_streaming)
@@ -469,6 +477,8 @@
             exchange.timer.cancel()
             exchange.timer = None
         self.metrics.add_for_server("relay_" + result.status, exchange.server)
+        if result.status not in ("ok", "granted"):
+            self._attempt_log.attempt_ended(exchange, result)
         last = result.is_permanent or result.status != "ok" and not message.can_resend()
         event = interface.Outcome(
             message.id,
@@ -507,23 +517,28 @@
     def _handle_timeout(self, exchange: Exchange) -> None:
         if exchange.stream_now():  # of a long answer the first bytes are timed, and they are in time
             return
+        progress = exchange.answer_progress()
+        reason = "time over" if self.clock() >= exchange.deadline else "attempt timed out"
         # The sim server cannot have run an attempt that was not completely written to a connection.
         status = "timeout" if exchange.drop() else "connect_failed"
-        self._handle_result(exchange, exchange.attempt, RelayResult(status))
+        self._handle_result(exchange, exchange.attempt, RelayResult(status, reason=reason, progress=progress))
 
     def _handle_cancel(self, action: interface.Cancel) -> None:
         exchange = self.exchanges.get(action.id)
         if exchange and exchange.has_relay and exchange.attempt == action.attempt:
             if exchange.stream_now():  # the server was taken for a silent one, but its answer flows
                 return
+            progress = exchange.answer_progress()
+            reason = "client left" if exchange.is_client_gone else "server silent"
             status = "cancelled" if exchange.drop() else "moot"
-            self._handle_result(exchange, action.attempt, RelayResult(status))
+            self._handle_result(exchange, action.attempt, RelayResult(status, reason=reason, progress=progress))
 
     def _handle_refuse(self, action: interface.Refuse) -> None:
         if exchange := self.exchanges.get(action.id):
             if action.reason:
                 self.metrics.add("refused_" + action.reason)
-            self._finish(exchange, Answer("back-off", 503 if exchange.attempt >= 0 else 429, action.retry_after))
+            answer = Answer("back-off", 503 if exchange.attempt >= 0 else 429, action.retry_after)
+            self._finish(exchange, answer, action.reason)
         else:
             self._reservation_result = action
 
@@ -531,9 +546,11 @@
         if exchange := self.exchanges.get(action.id):
             self._finish(exchange, Answer("failed", 502))
 
-    def _finish(self, exchange: Exchange, answer: Answer) -> None:
+    def _finish(self, exchange: Exchange, answer: Answer, reason: str = "") -> None:
         if not exchange.is_finished:
             self.metrics.add(answer.kind)
+            if exchange.attempt >= 0:
+                self._attempt_log.message_ended(exchange, answer, reason)
             exchange.answer(answer)
         self._release(exchange)
 
--- a/brackenpulley/metrics.py
+++ b/brackenpulley/metrics.py
@@ -15,6 +15,8 @@
     def __init__(self) -> None:
         self.counts: defaultdict[str, int] = defaultdict(int)
         self.class_counts: defaultdict[tuple[str, str], int] = defaultdict(int)  # names are ok, shed, errors and tries
+        # Attempts that ended without a whole answer, by outcome and by how far the answer had come.
+        self.attempt_ends: defaultdict[tuple[str, str], int] = defaultdict(int)
         self.server_counts: defaultdict[tuple[str, str], int] | None = None  # set by the tally that reads it
 
     def add(self, name: str, amount: int = 1) -> None:
@@ -31,6 +33,10 @@
         """Add one to a counter of the class."""
         self.class_counts[name, cls] += 1
 
+    def add_attempt_end(self, outcome: str, answer_stage: str) -> None:
+        """Count an attempt that ended without a whole answer."""
+        self.attempt_ends[outcome, answer_stage] += 1
+
     def record_maximum(self, name: str, value: int) -> None:
         """Raise a counter to `value` if it is lower: it holds the largest value seen."""
         if value > self.counts[name]:
@@ -42,7 +48,7 @@
 
 
 def render_exposition(metrics: Metrics, gauges: dict[str, int]) -> bytes:
-    """Return the counters by class and the gauges in Prometheus' text format."""
+    """Return the counters by class, the ends of attempts and the gauges in Prometheus' text format."""
     from prometheus_client.core import GaugeMetricFamily, UnknownMetricFamily
     from prometheus_client.exposition import generate_latest
     from prometheus_client.registry import CollectorRegistry
@@ -61,6 +67,14 @@
             for (name, cls), count in sorted(metrics.class_counts.items()):
                 families[name].add_metric([cls], count)
             yield from families.values()
+            ends = UnknownMetricFamily(
+                "app_attempts_ended",
+                "attempts that ended without a whole answer since the start, by outcome and by what had come of it",
+                labels=["outcome", "answer"],
+            )
+            for (outcome, answer_stage), count in sorted(metrics.attempt_ends.items()):
+                ends.add_metric([outcome, answer_stage], count)
+            yield ends
             for name, value in gauges.items():
                 yield GaugeMetricFamily(f"app_{name}", name.replace("_", " "), value=value)
 
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -10,7 +10,7 @@
 import httptools
 
 from ..bodies.body import Body
-from ..core.exchange import RelayResult
+from ..core.exchange import AnswerStage, RelayResult
 from .http import HOP_BY_HOP_HEADERS, MAX_BUFFERED_BODY_BYTES, MAX_HEADER_BYTES, MAX_HEADER_FIELDS, append_part
 
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before one final response
@@ -150,6 +150,15 @@
         is_short = 0 <= self.content_length <= self._buffer_limit
         return self.status == 200 and not self.is_complete and self.body_size > 0 and not is_short
 
+    @property
+    def stage(self) -> AnswerStage:
+        """How far the response has come."""
+        if self.body_size:
+            return AnswerStage.BODY
+        if self.has_head:
+            return AnswerStage.HEAD
+        return AnswerStage.PARTIAL_HEAD if self._head_bytes else AnswerStage.NONE
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the body that are buffered here."""
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -9,7 +9,7 @@
 from ..address import Address
 from ..bodies.body import Body, SpoolReadError, State
 from ..bodies.memory import BodyMemory
-from ..core.exchange import RelayResult
+from ..core.exchange import AnswerProgress, RelayResult
 from ..core.message import Message
 from ..metrics import Metrics
 from . import sockets
@@ -157,6 +157,14 @@
         self.south.start_response_stream(connection, self, connection.response)
         return True
 
+    def answer_progress(self) -> AnswerProgress:
+        """Return how far the response has come."""
+        connection = self.connection
+        if connection is None or connection.response is None:
+            return AnswerProgress()
+        quiet_seconds = self.south.loop.clock() - self.last_progress if self.last_progress else 0.0
+        return AnswerProgress(connection.response.stage, connection.response.body_size, quiet_seconds)
+
 
 class Southside:
     """Runs relays to sim servers, and owns the connections to them.
@@ -208,17 +216,17 @@
         relay = ServerRelay(self, message, server, now + left, done, began)
         address = self.inventory.find_address(server)
         if address is None or not self.inventory.is_usable(server):
-            self._finish(relay, RelayResult("connect_failed"))
+            self._finish(relay, RelayResult("connect_failed", reason="server drains or is gone"))
             return relay
         connection = self._take_idle((server, address), now) or self._open_connection((server, address), now)
         if connection is None:
-            self._finish(relay, RelayResult("connect_failed"))
+            self._finish(relay, RelayResult("connect_failed", reason="no connection"))
             return relay
         connection.relay, relay.connection = relay, connection
         if connection.is_connected:
             self._send(connection, relay)
         else:
-            relay.timer = self.loop.call_in(self.connect_timeout, lambda: self._fail(connection))
+            relay.timer = self.loop.call_in(self.connect_timeout, lambda: self._fail(connection, "connect timed out"))
         return relay
 
     def _take_idle(self, key: ServerKey, now: float) -> ServerConnection | None:
@@ -297,7 +305,7 @@
     def _handle_event(self, connection: ServerConnection, events: int) -> None:
         if not connection.is_connected:
             if sockets.connect_error(connection.sock):
-                self._fail(connection)
+                self._fail(connection, "connect failed")
                 return
             connection.is_connected = True
             if connection.relay is None:
@@ -319,7 +327,7 @@
         if not self.inventory.is_usable(relay.server) or self.inventory.find_address(relay.server) != connection.key[1]:
             self.metrics.add("drained_before_send")
             self._return_to_idle(connection)
-            self._finish(relay, RelayResult("connect_failed"))
+            self._finish(relay, RelayResult("connect_failed", reason="server drains or is gone"))
         else:
             self._send(connection, relay)
 
@@ -327,7 +335,7 @@
         if self.loop.clock() >= relay.message.write_deadline:
             self.metrics.add("window_over")
             self._return_to_idle(connection)
-            self._finish(relay, RelayResult("connect_failed"))
+            self._finish(relay, RelayResult("connect_failed", reason="window over"))
             return
         payload: Payload = relay.message.payload
         connection.response = ResponseReader(DEFAULT_MAX_BODY_BYTES, has_no_body=payload.method == b"HEAD")
@@ -369,7 +377,7 @@
             relay.last_progress, relay.acknowledged_bytes = now, acknowledged
         if now - relay.last_progress >= STALL_TIMEOUT_SECONDS:
             self.metrics.add("sends_stalled")
-            self._fail(connection)
+            self._fail(connection, "server reads nothing")
             return
         self._schedule_send_check(connection, relay)
 
@@ -398,7 +406,7 @@
         # The last byte is not sent, so the server hasn't started on the message.
         if relay.has_begun and self.loop.clock() >= relay.message.write_deadline:
             self.metrics.add("window_over")
-            self._fail(connection)
+            self._fail(connection, "window over")
             return
         try:
             while relay.send_queue or not relay.is_body_queued and self._queue_slice(relay):
@@ -410,13 +418,13 @@
                     break
         except SpoolReadError:
             self.metrics.add("spool_holes")
-            self._fail(connection)
+            self._fail(connection, "body no longer held")
             return
         except OSError:
             # A response sent before the server closed may say that it rejected the message.
             self._handle_readable(connection)
             if relay.connection is connection:
-                self._fail(connection)
+                self._fail(connection, "connection broke")
             return
         if relay.is_body_queued and not relay.send_queue and not relay.is_written:
             relay.is_written = True
@@ -445,7 +453,7 @@
         if not space:  # backpressure: the client has not read what is buffered
             self.loop.set_interest(connection.sock, 0, lambda events: None)
             return
-        is_local_failure = False
+        is_local_failure, reason = False, "connection broke"
         try:
             count = len(data := self._receive(connection.sock, space, stream is not None))
             if response is None:  # an idle connection was closed by the server, or has unexpected bytes
@@ -462,13 +470,13 @@
             count = -1
         except ResponseTooLargeError:
             self.metrics.add("answers_over_memory")
-            count, is_local_failure = -1, True
+            count, is_local_failure, reason = -1, True, "answer over memory"
         except MalformedResponseError:
             self.metrics.add("answers_spoilt")
-            count = -1
+            count, reason = -1, "answer spoilt"
         if response is None or relay is None:
             if count <= 0:
-                self._fail(connection)
+                self._fail(connection, reason)
             return
         if count <= 0 or response.is_complete:
             self.reuse_policy.record(connection.idle_seconds, count <= 0 and not response.is_partial)
@@ -476,7 +484,7 @@
             self._handle_complete(connection, relay, response, count > 0)
             return
         if count <= 0:
-            self._fail(connection, is_local_failure)
+            self._fail(connection, reason, is_local_failure)
             return
         relay.last_progress = self.loop.clock()
         if response.is_partial and not relay.has_stall_timer and relay.is_written:
@@ -547,7 +555,7 @@
             relay.timer = self.loop.call_in(timeout - stalled_for, lambda: self._check_response_stall(connection))
             return
         self.metrics.add("answers_stalled")
-        self._fail(connection)
+        self._fail(connection, "answer stalled")
 
     def _return_to_idle(self, connection: ServerConnection) -> None:
         if connection.relay is not None:
@@ -558,19 +566,21 @@
         self.idle_connections.setdefault(connection.key, []).append(connection)
         self.loop.set_interest(connection.sock, READ, lambda events: self._handle_event(connection, events))
 
-    def _fail(self, connection: ServerConnection, is_local_failure: bool = False) -> None:
-        """Close a broken connection and end its relay.
+    def _fail(self, connection: ServerConnection, reason: str, is_local_failure: bool = False) -> None:
+        """Close a broken connection and end its relay. `reason` is for the log.
 
         `is_local_failure`: the server is not at fault, and the same would happen again."""
-        relay = connection.relay
+        relay, progress = connection.relay, AnswerProgress()
         if relay is not None:
+            progress = relay.answer_progress()
             relay.connection = connection.relay = None
             if relay.response_stream is not None:
                 relay.response_stream.abort()
         self.close(connection)
         if relay is not None:  # the message may have run only if its last byte was sent
             status = "cancelled" if is_local_failure else "reset" if relay.is_written else "connect_failed"
-            self._finish(relay, RelayResult(status, is_permanent=is_local_failure))
+            result = RelayResult(status, is_permanent=is_local_failure, reason=reason, progress=progress)
+            self._finish(relay, result)
 
     def _finish(self, relay: ServerRelay, relay_end: RelayResult) -> None:
         if relay.timer is not None:
--- a/brackenpulley/standins/hollow.py
+++ b/brackenpulley/standins/hollow.py
@@ -21,7 +21,7 @@
 
 from ..config import decode
 from ..consensus.wire import Entry
-from ..core.exchange import Answer, RelayResult
+from ..core.exchange import Answer, AnswerProgress, RelayResult
 from ..core.message import Message
 from ..members.protocol import Changed
 from ..members.wire import DEAD
@@ -188,6 +188,10 @@
         """Return False: each answer comes whole."""
         return False
 
+    def answer_progress(self) -> AnswerProgress:
+        """Return no progress: each answer comes whole."""
+        return AnswerProgress()
+
 
 class TimedSouthside:
     """Replaces `Southside`: each relay succeeds after an exponential time of mean `mean_s`, at its estimated cost."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -12,7 +12,7 @@
 import pytest
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from brackenpulley.core.exchange import Answer, Exchange, ExchangeError, RelayResult, Verdict
+from brackenpulley.core.exchange import Answer, AnswerProgress, Exchange, ExchangeError, RelayResult, Verdict
 from brackenpulley.core.ingress import Ingress
 from brackenpulley.core.message import Message, MessageError, decode, parse_duration, parse_weight
 from brackenpulley.metrics import Metrics
@@ -50,6 +50,9 @@
     def stream_now(self) -> bool:
         return False
 
+    def answer_progress(self) -> AnswerProgress:
+        return AnswerProgress()
+
     def start(self, message: Message, server: str, timeout: float, on_done: Any, on_streaming: Any) -> Any:
         self.callbacks.append(on_done)
         return self
@@ -316,6 +319,9 @@
     def stream_now(self) -> bool:
         return False
 
+    def answer_progress(self) -> AnswerProgress:
+        return AnswerProgress()
+
 
 ArbitraryEvents.TestCase.settings = MACHINE_SETTINGS
 TestArbitraryEvents = ArbitraryEvents.TestCase
@@ -331,16 +337,18 @@
     return names
 
 
-@pytest.mark.parametrize("name", ["exchange", "ingress", "message"])
+@pytest.mark.parametrize("name", ["attempt_log", "exchange", "ingress", "message"])
 def test_the_core_imports_no_wire(name: str) -> None:
     allowed = {
         "__future__",
         "collections",
         "collections.abc",
         "dataclasses",
+        "enum",
         "functools",
         "math",
         "typing",
+        ".attempt_log",
         ".exchange",
         ".message",
         "..metrics",
--- a/tests/test_plans_together.py
+++ b/tests/test_plans_together.py
@@ -14,7 +14,7 @@
 
 from benchmarks.daemon_process import find_free_ports
 from benchmarks.ledger_cost import Process
-from brackenpulley.core.exchange import RelayResult
+from brackenpulley.core.exchange import AnswerProgress, RelayResult
 from brackenpulley.core.ingress import Ingress
 from brackenpulley.core.message import Message
 from brackenpulley.ledger.service import LedgerService
@@ -57,6 +57,9 @@
     def stream_now(self) -> bool:
         return False
 
+    def answer_progress(self) -> AnswerProgress:
+        return AnswerProgress()
+
 
 class ControlledSouth:
     """South side whose relays end as the test decides; computes the units that must be charged."""
