--- a/tests/test_long_messages_in_time.py
+++ b/tests/test_long_messages_in_time.py
@@ -24,6 +24,9 @@
 LONG_BYTES = 190_000
 BEGUN_BYTES = 40_000  # less than what is buffered: nothing says yet that the answer is long
 STEP_SECONDS = 0.1
+LATE_BODY_SECONDS = 1.5  # from the head of an answer to its body
+PAUSE_SECONDS = 3.0  # of a server in the middle of its answer
+HELD_BACK_SECONDS = 2.0  # for which nothing that has come may be held back (DAYS)
 HEADS = {
     "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_BYTES,
     "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -110,6 +113,153 @@
         assert harness.count("relays") == 1 and harness.count("relay_cancelled") == 0
 
 
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+@pytest.mark.parametrize("effect", ["free", "guarded"])
+def test_a_long_answer_whose_body_comes_late_is_passed_on_when_its_time_ends(form: str, effect: str) -> None:
+    """Guards against the cut of an answer of which the head alone has come when the client's time is over."""
+    body = noise(LONG_BYTES)
+    with rig(servers=2, effect=effect) as harness:
+        client, server = ask(harness)
+        give(harness, server, HEADS[form])
+        harness.step_clock(LEFT_SECONDS)
+        harness.run_until(lambda: bool(client.receive() and client.received))
+        harness.step_clock(LATE_BODY_SECONDS)
+        server.send(encode_part(form, body))
+        end_answer(form, server)
+        assert read_answer(form, client) == body
+        assert harness.count("relays") == 1
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+@pytest.mark.parametrize("effect", ["free", "guarded"])
+@pytest.mark.parametrize("begun_bytes", [0, 10])
+def test_servers_that_have_begun_long_answers_are_not_ejected_as_silent(
+    form: str, effect: str, begun_bytes: int
+) -> None:
+    """Guards against a sound answer that is cut because its server gives nothing for a while after the head."""
+    body, clients, servers = noise(LONG_BYTES), list[RawConnection](), list[RawConnection]()
+    with rig(servers=3, settings=settings_for_short_times(effect)) as harness:
+        for number in range(1, 7):
+            clients.append(harness.send_request(number, timeout="8000m"))
+            servers.append(harness.accept_relay()[1])
+            servers[-1].read_http()
+            servers[-1].send(HEADS[form] + (encode_part(form, body[:begun_bytes]) if begun_bytes else b""))
+        harness.freeze_clock()
+        for _ in range(int(LATE_BODY_SECONDS / STEP_SECONDS)):
+            harness.step_clock(STEP_SECONDS)
+            harness.step_clock(0.0)
+        assert not harness.daemon.ingress.decision_module.servers.ejected
+        for server in servers:
+            server.send(encode_part(form, body[begun_bytes:]))
+            end_answer(form, server)
+        assert all(read_answer(form, client) == body for client in clients)
+        assert harness.count("relays") == len(clients)
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+@pytest.mark.parametrize("begun_bytes", [0, 10])
+def test_a_long_answer_that_pauses_is_not_cut_within_its_time(form: str, begun_bytes: int) -> None:
+    """Guards against a sound answer that is cut for a pause of its server, where its connection is sound."""
+    body = noise(LONG_BYTES)
+    with rig(servers=2) as harness:
+        client = harness.send_request(1, timeout=f"{CLIENT_TIMEOUT_SECONDS * 1000:.0f}m")
+        _, server = harness.accept_relay()
+        server.read_http()
+        server.send(HEADS[form] + (encode_part(form, body[:begun_bytes]) if begun_bytes else b""))
+        harness.run_once()
+        harness.freeze_clock()
+        for _ in range(int(PAUSE_SECONDS / STEP_SECONDS)):
+            harness.step_clock(STEP_SECONDS)
+        server.send(encode_part(form, body[begun_bytes:]))
+        end_answer(form, server)
+        assert read_answer(form, client) == body
+        assert harness.count("relays") == 1
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+def test_what_has_come_of_a_long_answer_is_not_held_back(form: str) -> None:
+    """Guards against the first part of a slow answer that stays in the ingress until much more of it has come."""
+    body = noise(LONG_BYTES)
+    with rig(servers=2) as harness:
+        client = harness.send_request(1, timeout=f"{CLIENT_TIMEOUT_SECONDS * 1000:.0f}m")
+        _, server = harness.accept_relay()
+        server.read_http()
+        harness.freeze_clock()
+        give(harness, server, HEADS[form] + encode_part(form, body[:500]))
+        for sent in range(500, 500 * int(HELD_BACK_SECONDS / STEP_SECONDS), 500):
+            harness.step_clock(STEP_SECONDS)
+            give(harness, server, encode_part(form, body[sent : sent + 500]))
+        client.receive()
+        assert body[:500] in client.received
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+def test_a_time_out_of_an_attempt_does_not_cut_a_long_answer_that_has_begun(form: str) -> None:
+    """Guards against the same cut where attempts must not be cancelled and have a time-out of their own."""
+    body, settings = noise(LONG_BYTES), settings_for_short_times("free")
+    settings["Limits"]["MayCancel"] = False
+    with rig(servers=3, settings=settings) as harness:
+        client = harness.send_request(1, timeout="8000m")
+        _, server = harness.accept_relay()
+        server.read_http()
+        harness.freeze_clock()
+        give(harness, server, HEADS[form])
+        for _ in range(int(LATE_BODY_SECONDS / STEP_SECONDS)):
+            harness.step_clock(STEP_SECONDS)
+        server.send(encode_part(form, body))
+        end_answer(form, server)
+        assert read_answer(form, client) == body
+        assert harness.count("relays") == 1
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+def test_long_answers_that_have_begun_are_passed_on_rather_than_cut_for_lack_of_memory(form: str) -> None:
+    """Guards against a sound answer that is cut because many others have begun and wait in the ingress."""
+    body = noise(LONG_BYTES)
+    with rig(servers=2) as harness:
+        client, server = ask(harness)
+        harness.daemon.shares.max_answer_bytes = BEGUN_BYTES // 8
+        give(harness, server, HEADS[form] + encode_part(form, body[: BEGUN_BYTES // 4]))
+        server.send(encode_part(form, body[BEGUN_BYTES // 4 :]))
+        end_answer(form, server)
+        assert read_answer(form, client) == body
+        assert harness.count("answers_over_memory") == 0 and harness.daemon.shares.answer_bytes == 0
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+def test_an_answer_whose_head_is_on_its_way_at_the_end_of_its_time_is_not_cut(form: str) -> None:
+    """Guards against the cut of an answer that comes in pieces, in the middle of its head."""
+    body = noise(LONG_BYTES)
+    with rig(servers=2) as harness:
+        client, server = ask(harness)
+        harness.step_clock(LEFT_SECONDS - STEP_SECONDS)
+        give(harness, server, HEADS[form][:20])
+        harness.step_clock(STEP_SECONDS)
+        give(harness, server, HEADS[form][20:])
+        server.send(encode_part(form, body))
+        end_answer(form, server)
+        assert read_answer(form, client) == body
+        assert harness.count("relays") == 1
+
+
+def end_answer(form: str, server: RawConnection) -> None:
+    """End the body of an answer as its framing has it."""
+    if form == "chunked":
+        server.send(b"0\r\n\r\n")
+    elif form == "close":
+        server.close()
+
+
+def read_answer(form: str, client: RawConnection) -> bytes:
+    """Read a whole answer with status 200 and return its body."""
+    if form == "length":
+        status, _, received = client.read_http()
+        assert status == 200
+        return received
+    assert b" 200 " in client.read_until(b"\r\n\r\n")
+    return chunked(client)
+
+
 CONNECT = sockets.connect
 SHORT_TIMEOUT_SECONDS = 1.0
 LATE_SECONDS = 0.5  # by which an answer may come after its time without being lost
