Let a long answer go on whose head alone has come, and tell the module that it has begun

Cause: whether an answer had begun was judged by a byte of its body (ResponseReader.may_be_long), so one whose head alone had come was dropped at the end of its time (Ingress._handle_timeout) and at a cancel; and the module, which heard of answers only when whole or streamed, took the server for a silent one, ejected it and cancelled the relay, at server after server.

Change: core/answer_progress has the stages of an answer and the one rule, is_underway; a relay that is underway is neither cancelled nor ended by an attempt's time-out, and is passed on when its message's time is over. The module hears AnswerBegun with the head: the server has answered, the relay is no longer work at it. The latency of a long answer is that of its head.

--- a/brackenpulley/authz/front.py
+++ b/brackenpulley/authz/front.py
@@ -12,7 +12,8 @@
 import h2.events
 
 from ..address import Address
-from ..core.exchange import Answer, AnswerProgress, Exchange, RelayResult
+from ..core.answer_progress import AnswerProgress
+from ..core.exchange import Answer, Exchange, RelayResult
 from ..core.ingress import Ingress
 from ..core.message import SECONDS_PER_UNIT, Message, MessageError
 from ..metrics import Metrics
@@ -54,6 +55,7 @@
         timeout: float,
         on_done: Callable[[RelayResult], None],
         on_streaming: Callable[[RelayResult], None],
+        on_begun: Callable[[], None],
     ) -> GrantingSouth:
         """Report the server as granted, or the relay as failed if the server is no longer usable."""
         # The answer is sent now, so the inventory is checked now: a server that has begun to drain is not granted.
--- /dev/null
+++ b/brackenpulley/core/answer_progress.py
@@ -0,0 +1,48 @@
+"""How far the answer to a relay has come, and whether its server is still giving it. No I/O.
+
+| stage        | what has come of the answer                                                                     |
+| ------------ | ----------------------------------------------------------------------------------------------- |
+| NONE         | not a byte, or the request was not written whole, so that what came is no answer to it          |
+| PARTIAL_HEAD | a part of its head                                                                              |
+| SHORT        | its head: it is no success, or its length is one that is buffered whole                         |
+| HEAD         | its head, and no byte of its body: it is a success that is long, or may be                      |
+| BODY         | the same, and a part of its body                                                                |
+
+Of a long answer only the first bytes are timed, and one that its server is still giving must not be cut off. So an
+answer in HEAD or BODY is neither cancelled nor timed out while it is underway; when its message's time is over, it is
+passed on from what has come.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+STALL_TIMEOUT_SECONDS = 2.0  # without a byte of an answer that has begun
+
+
+class AnswerStage(Enum):
+    """How far an answer has come. The table at the head of the module has the meanings."""
+
+    NONE = "none"
+    PARTIAL_HEAD = "partial-head"
+    SHORT = "short"
+    HEAD = "head"
+    BODY = "body"
+
+
+LONG_STAGES = frozenset((AnswerStage.HEAD, AnswerStage.BODY))
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerProgress:
+    """What has come of an answer."""
+
+    stage: AnswerStage = AnswerStage.NONE
+    body_bytes: int = 0
+    quiet_seconds: float = 0.0  # since the relay's last byte in either direction; 0 if there was none
+
+    @property
+    def is_underway(self) -> bool:
+        """Whether the answer may be a long one that its server is still giving."""
+        return self.stage in LONG_STAGES and self.quiet_seconds < STALL_TIMEOUT_SECONDS
--- a/brackenpulley/core/exchange.py
+++ b/brackenpulley/core/exchange.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import Any, Protocol
 
+from .answer_progress import AnswerProgress
 from .message import Message
 
 
@@ -30,24 +30,6 @@
     is_streaming: bool = False  # the body is still being received; whether it is complete is known when the relay ends
 
 
-class AnswerStage(Enum):
-    """How far the answer to a relay has come."""
-
-    NONE = "none"  # not a byte of the final answer
-    PARTIAL_HEAD = "partial-head"
-    HEAD = "head"  # the whole head and no byte of the body
-    BODY = "body"  # a part of the body
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerProgress:
-    """What has come of the answer to a relay, for logs and metrics."""
-
-    stage: AnswerStage = AnswerStage.NONE
-    body_bytes: int = 0
-    quiet_seconds: float = 0.0  # since the relay's last byte in either direction; 0 if there was none
-
-
 @dataclass(slots=True)
 class RelayResult:
     """The result of a relay, with a status of `policy.interface.Outcome`.
@@ -129,11 +111,13 @@
         timeout: float,
         on_done: Callable[[RelayResult], None],
         on_streaming: Callable[[RelayResult], None],
+        on_begun: Callable[[], None],
     ) -> Relay:
         """Starts one relay that may take `timeout` seconds.
 
-        Calls `on_done` once, unless the relay is dropped; the call may happen before this returns. For a long answer,
-        calls `on_streaming` once before that, when the first part of the answer has been received.
+        Calls `on_done` once, unless the relay is dropped; the call may happen before this returns. For an answer that
+        is long or may be, calls `on_begun` once before that, when its head has been received, and `on_streaming` once
+        it is to be passed on while it is received.
         """
 
 
@@ -153,6 +137,7 @@
         "server",
         "attempt",
         "sent_at",
+        "answer_begun_at",
         "timer",
         "pending_call",
         "_reply",
@@ -166,6 +151,7 @@
         self.is_client_gone = False
         self.is_streaming = False  # the final answer is sent to the client while the sim server still sends it
         self.server, self.attempt, self.sent_at = "", -1, 0.0
+        self.answer_begun_at = 0.0  # when the head of a long answer to the relay in flight came; 0 before that
         self._reply, self._south = reply, south
         self._relay: Relay | None = None
         self.timer: Any = None
@@ -194,6 +180,7 @@
         timeout: float,
         on_done: Callable[[Exchange, int, RelayResult], None],
         on_streaming: Callable[[Exchange, int, RelayResult], None],
+        on_begun: Callable[[Exchange, int], None],
     ) -> None:
         """Starts the next attempt. The callbacks get the exchange, the number of the attempt and the result.
 
@@ -204,7 +191,7 @@
                 f"message {self.message.id}: cannot start a relay: "
                 f"{'the exchange is finished' if self.is_finished else 'another relay is in flight'}"
             )
-        self.server, self.attempt, self.sent_at = server, self.attempt + 1, now
+        self.server, self.attempt, self.sent_at, self.answer_begun_at = server, self.attempt + 1, now, 0.0
         number = self.attempt
 
         def report_done(result: RelayResult) -> None:
@@ -216,7 +203,11 @@
             if self.server and self.attempt == number:
                 on_streaming(self, number, result)
 
-        relay = self._south.start(self.message, server, timeout, report_done, report_streaming)
+        def report_begun() -> None:
+            if self.server and self.attempt == number:
+                on_begun(self, number)
+
+        relay = self._south.start(self.message, server, timeout, report_done, report_streaming, report_begun)
         if self.server and self.attempt == number:
             self._relay = relay
 
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -440,7 +440,15 @@
             self._attempt_log.retry_started(exchange, action.server)
         if self.reservations is not None and exchange.attempt < 0 and exchange.message.reservation:
             self.reservations.used(exchange.message)
-        exchange.relay(action.server, now, timeout, self._handle_result, self._start_streaming)
+        exchange.relay(
+            action.server, now, timeout, self._handle_result, self._start_streaming, self._handle_answer_begun
+        )
+
+    def _handle_answer_begun(self, exchange: Exchange, attempt: int) -> None:
+        """Tells the decision module that a server has begun a long answer, so that it is not taken for a silent one."""
+        exchange.answer_begun_at = self.clock()
+        if not exchange.is_finished:
+            self._enqueue(interface.AnswerBegun(exchange.message.id, exchange.server, attempt))
 
     def _start_streaming(self, exchange: Exchange, attempt: int, result: RelayResult) -> None:
         """Starts to stream a long answer. It is the final answer, and no timeout ends it any more."""
@@ -459,7 +467,7 @@
                 exchange.message.id,
                 exchange.server,
                 attempt,
-                self.clock() - (result.written_at or exchange.sent_at),
+                (exchange.answer_begun_at or self.clock()) - (result.written_at or exchange.sent_at),
                 work_done=True,
             )
         )
@@ -515,20 +523,27 @@
             self.leases.settled(message.firm)
 
     def _handle_timeout(self, exchange: Exchange) -> None:
-        if exchange.stream_now():  # of a long answer the first bytes are timed, and they are in time
-            return
         progress = exchange.answer_progress()
+        if progress.is_underway and self._let_go_on(exchange):
+            return
         reason = "time over" if self.clock() >= exchange.deadline else "attempt timed out"
         # The sim server cannot have run an attempt that was not completely written to a connection.
         status = "timeout" if exchange.drop() else "connect_failed"
         self._handle_result(exchange, exchange.attempt, RelayResult(status, reason=reason, progress=progress))
 
+    def _let_go_on(self, exchange: Exchange) -> bool:
+        """Lets an answer go on whose attempt has timed out; returns False if it can't."""
+        if self.clock() < exchange.deadline:
+            exchange.timer = self.timers.call_at(exchange.deadline, lambda: self._handle_timeout(exchange))
+            return True
+        return exchange.stream_now()
+
     def _handle_cancel(self, action: interface.Cancel) -> None:
         exchange = self.exchanges.get(action.id)
         if exchange and exchange.has_relay and exchange.attempt == action.attempt:
-            if exchange.stream_now():  # the server was taken for a silent one, but its answer flows
-                return
             progress = exchange.answer_progress()
+            if progress.is_underway and not exchange.is_client_gone:
+                return
             reason = "client left" if exchange.is_client_gone else "server silent"
             status = "cancelled" if exchange.drop() else "moot"
             self._handle_result(exchange, action.attempt, RelayResult(status, reason=reason, progress=progress))
--- a/brackenpulley/net/answers.py
+++ b/brackenpulley/net/answers.py
@@ -10,7 +10,8 @@
 import httptools
 
 from ..bodies.body import Body
-from ..core.exchange import AnswerStage, RelayResult
+from ..core.answer_progress import LONG_STAGES, AnswerStage
+from ..core.exchange import RelayResult
 from .http import HOP_BY_HOP_HEADERS, MAX_BUFFERED_BODY_BYTES, MAX_HEADER_BYTES, MAX_HEADER_FIELDS, append_part
 
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before one final response
@@ -144,20 +145,20 @@
         is_declared_long = self.content_length > self._buffer_limit and self.body_size >= STREAM_MIN_BYTES
         return self.status == 200 and not self.is_complete and (is_declared_long or self.body_size > self._buffer_limit)
 
-    @property
-    def may_be_long(self) -> bool:
-        """Whether this is a successful response that has begun and is not known to be a short one."""
-        is_short = 0 <= self.content_length <= self._buffer_limit
-        return self.status == 200 and not self.is_complete and self.body_size > 0 and not is_short
-
     @property
     def stage(self) -> AnswerStage:
         """How far the response has come."""
-        if self.body_size:
-            return AnswerStage.BODY
-        if self.has_head:
-            return AnswerStage.HEAD
-        return AnswerStage.PARTIAL_HEAD if self._head_bytes else AnswerStage.NONE
+        if not self.has_head:
+            return AnswerStage.PARTIAL_HEAD if self._head_bytes else AnswerStage.NONE
+        is_declared_short = 0 <= self.content_length <= self._buffer_limit
+        if self.status != 200 or self.is_complete or is_declared_short:
+            return AnswerStage.SHORT
+        return AnswerStage.BODY if self.body_size else AnswerStage.HEAD
+
+    @property
+    def may_be_long(self) -> bool:
+        """Whether this is a successful response that has begun and is not known to be a short one."""
+        return self.stage in LONG_STAGES
 
     @property
     def buffered_bytes(self) -> int:
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -9,7 +9,8 @@
 from ..address import Address
 from ..bodies.body import Body, SpoolReadError, State
 from ..bodies.memory import BodyMemory
-from ..core.exchange import AnswerProgress, RelayResult
+from ..core.answer_progress import STALL_TIMEOUT_SECONDS, AnswerProgress
+from ..core.exchange import RelayResult
 from ..core.message import Message
 from ..metrics import Metrics
 from . import sockets
@@ -28,7 +29,7 @@
 TRIAL_INTERVAL = 16  # every n-th refused reuse is allowed all the same, see IdleReusePolicy
 FAILURE_RATE_WEIGHT = 0.05  # of the newest sample in the moving average of failures
 REUSE_DELAY_SECONDS = 0.01  # idle time before reuse: a duplicate of the last response may still come
-STALL_TIMEOUT_SECONDS = 2.0  # without progress in a begun response, or in sending a long body
+SEND_STALL_TIMEOUT_SECONDS = 2.0  # without progress in sending a long body
 SEND_CHECK_INTERVAL_SECONDS = 0.25  # between two looks at what a server has acknowledged of a long body
 STREAM_STALL_TIMEOUT_SECONDS = 5.0  # once a part of the response is at the client: no other relay can replace it
 
@@ -87,6 +88,8 @@
         "deadline",
         "on_end",
         "on_stream_start",
+        "on_response_begun",
+        "has_response_begun",
         "connection",
         "send_queue",
         "request_stream",
@@ -110,9 +113,11 @@
         deadline: float,
         on_end: Callable[[RelayResult], None],
         on_stream_start: Callable[[RelayResult], None],
+        on_response_begun: Callable[[], None],
     ) -> None:
         self.south, self.message, self.server, self.deadline, self.on_end = south, message, server, deadline, on_end
-        self.on_stream_start = on_stream_start
+        self.on_stream_start, self.on_response_begun = on_stream_start, on_response_begun
+        self.has_response_begun = False  # the head of a response that is long or may be has come, and was reported
         self.connection: ServerConnection | None = None
         self.send_queue: deque[bytes | memoryview] = deque()  # bytes that the socket has not accepted yet
         self.request_stream: Body | None = None  # body of a message too long to be buffered
@@ -149,10 +154,9 @@
     def stream_now(self) -> bool:
         """Stream a response that has begun and may be a long one, if its server still sends it; True if it does."""
         connection = self.connection
-        if connection is None or connection.response is None or self.response_stream is not None or not self.is_written:
+        if connection is None or connection.response is None or self.response_stream is not None:
             return False
-        stalled_for = self.south.loop.clock() - self.last_progress
-        if not connection.response.may_be_long or stalled_for >= STALL_TIMEOUT_SECONDS:
+        if not self.answer_progress().is_underway:
             return False
         self.south.start_response_stream(connection, self, connection.response)
         return True
@@ -160,7 +164,7 @@
     def answer_progress(self) -> AnswerProgress:
         """Return how far the response has come."""
         connection = self.connection
-        if connection is None or connection.response is None:
+        if connection is None or connection.response is None or not self.is_written:
             return AnswerProgress()
         quiet_seconds = self.south.loop.clock() - self.last_progress if self.last_progress else 0.0
         return AnswerProgress(connection.response.stage, connection.response.body_size, quiet_seconds)
@@ -207,13 +211,15 @@
         left: float,
         done: Callable[[RelayResult], None],
         began: Callable[[RelayResult], None],
+        on_begun: Callable[[], None],
     ) -> ServerRelay:
         """Start a relay that has `left` seconds until its deadline.
 
-        `done` is called once with its end unless the relay is dropped, possibly before this returns. `began` is called
-        before that if the response is long enough to be streamed."""
+        `done` is called once with its end unless the relay is dropped, possibly before this returns. Before that
+        `on_begun` is called when the head of a response has come that is long or may be, and `began` if it is streamed.
+        """
         now = self.loop.clock()
-        relay = ServerRelay(self, message, server, now + left, done, began)
+        relay = ServerRelay(self, message, server, now + left, done, began, on_begun)
         address = self.inventory.find_address(server)
         if address is None or not self.inventory.is_usable(server):
             self._finish(relay, RelayResult("connect_failed", reason="server drains or is gone"))
@@ -375,7 +381,7 @@
         # A full send buffer takes nothing until a third of it is free, however steadily the server reads.
         if not relay.send_queue or acknowledged > relay.acknowledged_bytes:
             relay.last_progress, relay.acknowledged_bytes = now, acknowledged
-        if now - relay.last_progress >= STALL_TIMEOUT_SECONDS:
+        if now - relay.last_progress >= SEND_STALL_TIMEOUT_SECONDS:
             self.metrics.add("sends_stalled")
             self._fail(connection, "server reads nothing")
             return
@@ -490,6 +496,9 @@
         if response.is_partial and not relay.has_stall_timer and relay.is_written:
             relay.has_stall_timer = True
             relay.timer = self.loop.call_in(STALL_TIMEOUT_SECONDS, lambda: self._check_response_stall(connection))
+        if response.may_be_long and relay.is_written and not relay.has_response_begun:
+            relay.has_response_begun = True
+            relay.on_response_begun()
         if response.is_long and relay.response_stream is None and relay.connection is connection and relay.is_written:
             self.start_response_stream(connection, relay, response)
 
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -281,6 +281,13 @@
                 )
             )
 
+    def begin_answer(self, now: float, event: interface.AnswerBegun) -> None:
+        """Records that a server gives a long answer, however slowly: it is not silent, and works on it no more."""
+        pending = self.messages.get(event.id)
+        if pending and pending.server and pending.is_in_flight and event.attempt == pending.attempts - 1:
+            pending.has_answer_begun, pending.server.answered_at = True, now
+            self.servers.record_ended(pending.server, (event.id, event.attempt))
+
     def start_stream(self, now: float, event: interface.StreamStarted) -> None:
         """Binds a message whose answer flows to this attempt, and records its latency."""
         pending = self.messages.get(event.id)
@@ -804,7 +811,7 @@
                         for pending in self.messages.values()
                         if pending.rate_controller is controller
                         and pending.is_in_flight
-                        and not pending.is_streaming
+                        and not (pending.has_answer_begun or pending.is_streaming)
                         and now - pending.sent_at > controller.target
                         and pending.server
                         and not pending.server.is_ejected
@@ -825,6 +832,7 @@
     interface.BodyComplete: DecisionModule.complete_body,
     interface.Outcome: DecisionModule.handle_outcome,
     interface.ClientGone: DecisionModule.handle_client_gone,
+    interface.AnswerBegun: DecisionModule.begin_answer,
     interface.StreamStarted: DecisionModule.start_stream,
     interface.ServerList: DecisionModule.update_servers,
     interface.ProbeResult: DecisionModule.handle_probe_result,
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -214,6 +214,15 @@
     no_retry: bool = False  # its body was not kept: it cannot be sent again
 
 
+@dataclass(slots=True)
+class AnswerBegun:
+    """The head of a long answer came. The server is not silent, and only the answer's bytes are still to come."""
+
+    id: str
+    server: str
+    attempt: int
+
+
 @dataclass(slots=True)
 class StreamStarted:
     """The answer has begun to flow: the message stays with this attempt."""
@@ -357,6 +366,7 @@
     | MessageReceived
     | BodyComplete
     | Outcome
+    | AnswerBegun
     | StreamStarted
     | ClientGone
     | ProbeResult
--- a/brackenpulley/policy/state.py
+++ b/brackenpulley/policy/state.py
@@ -452,6 +452,7 @@
     server: Server | None = None  # of the last relay
     sent_at: float = 0.0  # when the last relay was sent
     is_in_flight: bool = False
+    has_answer_begun: bool = False  # the head of a long answer to the last relay came
     is_streaming: bool = False
     client_gone: bool = False
     first_sent_at: float = 0.0
@@ -468,6 +469,7 @@
         """Records that a relay was sent."""
         self.first_sent_at = self.first_sent_at or now
         self.server, self.sent_at, self.is_in_flight = server, inf if self.body_pending else now, True
+        self.has_answer_begun = False
         self.attempts += 1
         if self.firm:
             self.firm.in_flight += 1
--- a/brackenpulley/standins/hollow.py
+++ b/brackenpulley/standins/hollow.py
@@ -21,7 +21,8 @@
 
 from ..config import decode
 from ..consensus.wire import Entry
-from ..core.exchange import Answer, AnswerProgress, RelayResult
+from ..core.answer_progress import AnswerProgress
+from ..core.exchange import Answer, RelayResult
 from ..core.message import Message
 from ..members.protocol import Changed
 from ..members.wire import DEAD
@@ -206,8 +207,9 @@
         timeout: float,
         on_done: Callable[[RelayResult], None],
         on_streaming: Callable[[RelayResult], None],
+        on_begun: Callable[[], None],
     ) -> TimedRelay:
-        """Start one relay. `timeout` and `on_streaming` are not used."""
+        """Start one relay. `timeout`, `on_streaming` and `on_begun` are not used."""
         result = RelayResult("ok", cost=message.units)
         return TimedRelay(self.loop.call_in(self.rng.expovariate(1 / self.mean_s), lambda: on_done(result)))
 
--- a/tests/test_attempt_log.py
+++ b/tests/test_attempt_log.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from brackenpulley.core.answer_progress import AnswerProgress, AnswerStage
 from brackenpulley.core.attempt_log import LINES_PER_SECOND, MAX_BURST_LINES, AttemptLog
-from brackenpulley.core.exchange import AnswerProgress, AnswerStage, Exchange, RelayResult
+from brackenpulley.core.exchange import Exchange, RelayResult
 from brackenpulley.core.message import Message
 from brackenpulley.metrics import Metrics
 
