Do not cut off a long answer for a pause of less than 5 s of its server

What callers would see: an answer whose server pauses for 2 s before anything of it was passed on is broken off, and asked for elsewhere or failed, though its connection is sound; after the first byte had gone out the same pause was allowed for 5 s.

Cause: two stall limits for one thing, chosen by whether the ingress had begun to pass the answer on.

Change: the limit depends on the answer's stage alone (core/answer_progress): 5 s where it is long or may be, 2 s for a part of a head and for short answers, which may be asked for again. The stall check reads the same rule.

--- a/brackenpulley/core/answer_progress.py
+++ b/brackenpulley/core/answer_progress.py
@@ -19,6 +19,7 @@
 from enum import Enum
 
 STALL_TIMEOUT_SECONDS = 2.0  # without a byte of an answer that has begun
+LONG_STALL_TIMEOUT_SECONDS = 5.0  # the same for one that may be long: servers take seconds to write
 
 
 class AnswerStage(Enum):
@@ -42,7 +43,17 @@
     body_bytes: int = 0
     quiet_seconds: float = 0.0  # since the relay's last byte in either direction; 0 if there was none
 
+    @property
+    def stall_timeout(self) -> float:
+        """Seconds without a byte after which the server gives nothing any more."""
+        return LONG_STALL_TIMEOUT_SECONDS if self.stage in LONG_STAGES else STALL_TIMEOUT_SECONDS
+
+    @property
+    def has_stalled(self) -> bool:
+        """Whether the server gives nothing any more."""
+        return self.quiet_seconds >= self.stall_timeout
+
     @property
     def is_underway(self) -> bool:
         """Whether the answer may be a long one that its server is still giving."""
-        return self.stage in LONG_STAGES and self.quiet_seconds < STALL_TIMEOUT_SECONDS
+        return self.stage in LONG_STAGES and not self.has_stalled
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -9,7 +9,7 @@
 from ..address import Address
 from ..bodies.body import Body, SpoolReadError, State
 from ..bodies.memory import BodyMemory
-from ..core.answer_progress import STALL_TIMEOUT_SECONDS, AnswerProgress
+from ..core.answer_progress import AnswerProgress
 from ..core.exchange import RelayResult
 from ..core.message import Message
 from ..metrics import Metrics
@@ -31,7 +31,6 @@
 REUSE_DELAY_SECONDS = 0.01  # idle time before reuse: a duplicate of the last response may still come
 SEND_STALL_TIMEOUT_SECONDS = 2.0  # without progress in sending a long body
 SEND_CHECK_INTERVAL_SECONDS = 0.25  # between two looks at what a server has acknowledged of a long body
-STREAM_STALL_TIMEOUT_SECONDS = 5.0  # once a part of the response is at the client: no other relay can replace it
 
 ServerKey = tuple[str, Address]  # id and address: a new sim server may reuse the address of a removed one
 
@@ -495,7 +494,7 @@
         relay.last_progress = self.loop.clock()
         if response.is_partial and not relay.has_stall_timer and relay.is_written:
             relay.has_stall_timer = True
-            relay.timer = self.loop.call_in(STALL_TIMEOUT_SECONDS, lambda: self._check_response_stall(connection))
+            self._schedule_response_check(connection, relay)
         if response.may_be_long and relay.is_written and not relay.has_response_begun:
             relay.has_response_begun = True
             relay.on_response_begun()
@@ -552,19 +551,23 @@
         relay_end.written_at = relay.written_at
         relay.on_stream_start(relay_end)
 
-    def _check_response_stall(self, connection: ServerConnection) -> None:
-        relay = connection.relay
-        if relay is not None and relay.response_stream is not None and relay.response_stream.is_writer_blocked:
+    def _schedule_response_check(self, connection: ServerConnection, relay: ServerRelay) -> None:
+        """Set the timer for the next check of a response that has begun."""
+        progress = relay.answer_progress()
+        delay = progress.stall_timeout - progress.quiet_seconds
+        relay.timer = self.loop.call_in(delay, lambda: self._check_response(connection, relay))
+
+    def _check_response(self, connection: ServerConnection, relay: ServerRelay) -> None:
+        """Fail a relay whose server gives no more of its response."""
+        if relay.connection is not connection:
+            return
+        if relay.response_stream is not None and relay.response_stream.is_writer_blocked:
             relay.last_progress = self.loop.clock()  # reading is paused by the client's pace, not by the server
-        timeout = (
-            STALL_TIMEOUT_SECONDS if relay is None or relay.response_stream is None else STREAM_STALL_TIMEOUT_SECONDS
-        )
-        if relay is not None and (stalled_for := self.loop.clock() - relay.last_progress) < timeout:
-            # Slow but progressing: a server may write a long response in pieces over seconds.
-            relay.timer = self.loop.call_in(timeout - stalled_for, lambda: self._check_response_stall(connection))
+        if relay.answer_progress().has_stalled:
+            self.metrics.add("answers_stalled")
+            self._fail(connection, "answer stalled")
             return
-        self.metrics.add("answers_stalled")
-        self._fail(connection, "answer stalled")
+        self._schedule_response_check(connection, relay)
 
     def _return_to_idle(self, connection: ServerConnection) -> None:
         if connection.relay is not None:
