Pass on what has come of a long answer before it is held back for 2 s

Cause: passing on began at a number of bytes or at the end of the message's time, never after a time.

Change: 1.5 s after the first byte of a body that is long or may be, what has come is passed on (MAX_HOLD_SECONDS; 2 s less the 0.15 s that an ingress may be held up and the timer's own lateness). The stall timer of a response has both times.

--- a/brackenpulley/core/answer_progress.py
+++ b/brackenpulley/core/answer_progress.py
@@ -9,8 +9,8 @@
 | BODY         | the same, and a part of its body                                                                |
 
 Of a long answer only the first bytes are timed, and one that its server is still giving must not be cut off. So an
-answer in HEAD or BODY is neither cancelled nor timed out while it is underway; when its message's time is over, it is
-passed on from what has come.
+answer in HEAD or BODY is neither cancelled nor timed out while it is underway. It is passed on from what has come when
+it is known to be long, when its message's time is over, or when a part of its body has been held for MAX_HOLD_SECONDS.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 
 STALL_TIMEOUT_SECONDS = 2.0  # without a byte of an answer that has begun
 LONG_STALL_TIMEOUT_SECONDS = 5.0  # the same for one that may be long: servers take seconds to write
+MAX_HOLD_SECONDS = 1.5  # for which the first bytes of a long answer's body may be held; 2 s are a break
 
 
 class AnswerStage(Enum):
@@ -42,6 +43,7 @@
     stage: AnswerStage = AnswerStage.NONE
     body_bytes: int = 0
     quiet_seconds: float = 0.0  # since the relay's last byte in either direction; 0 if there was none
+    held_seconds: float = -1.0  # since the first byte of the body came, if it is not passed on; else negative
 
     @property
     def stall_timeout(self) -> float:
@@ -53,6 +55,17 @@
         """Whether the server gives nothing any more."""
         return self.quiet_seconds >= self.stall_timeout
 
+    @property
+    def must_pass_on(self) -> bool:
+        """Whether what has come of the answer must be passed on now."""
+        return self.held_seconds >= MAX_HOLD_SECONDS
+
+    @property
+    def next_check_seconds(self) -> float:
+        """Seconds after which the answer must be passed on, or has stalled, unless more of it comes."""
+        until_stalled = self.stall_timeout - self.quiet_seconds
+        return min(until_stalled, MAX_HOLD_SECONDS - self.held_seconds) if self.held_seconds >= 0 else until_stalled
+
     @property
     def is_underway(self) -> bool:
         """Whether the answer may be a long one that its server is still giving."""
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -9,7 +9,7 @@
 from ..address import Address
 from ..bodies.body import Body, SpoolReadError, State
 from ..bodies.memory import BodyMemory
-from ..core.answer_progress import AnswerProgress
+from ..core.answer_progress import AnswerProgress, AnswerStage
 from ..core.exchange import RelayResult
 from ..core.message import Message
 from ..metrics import Metrics
@@ -89,6 +89,7 @@
         "on_stream_start",
         "on_response_begun",
         "has_response_begun",
+        "held_since",
         "connection",
         "send_queue",
         "request_stream",
@@ -116,6 +117,7 @@
     ) -> None:
         self.south, self.message, self.server, self.deadline, self.on_end = south, message, server, deadline, on_end
         self.on_stream_start, self.on_response_begun = on_stream_start, on_response_begun
+        self.held_since = 0.0  # when the first byte came of a body that may be long and is buffered; 0 = none is
         self.has_response_begun = False  # the head of a response that is long or may be has come, and was reported
         self.connection: ServerConnection | None = None
         self.send_queue: deque[bytes | memoryview] = deque()  # bytes that the socket has not accepted yet
@@ -165,8 +167,10 @@
         connection = self.connection
         if connection is None or connection.response is None or not self.is_written:
             return AnswerProgress()
-        quiet_seconds = self.south.loop.clock() - self.last_progress if self.last_progress else 0.0
-        return AnswerProgress(connection.response.stage, connection.response.body_size, quiet_seconds)
+        now, response = self.south.loop.clock(), connection.response
+        quiet_seconds = now - self.last_progress if self.last_progress else 0.0
+        held_seconds = now - self.held_since if self.held_since else -1.0
+        return AnswerProgress(response.stage, response.body_size, quiet_seconds, held_seconds)
 
 
 class Southside:
@@ -492,9 +496,8 @@
             self._fail(connection, reason, is_local_failure)
             return
         relay.last_progress = self.loop.clock()
-        if response.is_partial and not relay.has_stall_timer and relay.is_written:
-            relay.has_stall_timer = True
-            self._schedule_response_check(connection, relay)
+        if response.is_partial and relay.is_written:
+            self._watch_response(connection, relay, response)
         if response.may_be_long and relay.is_written and not relay.has_response_begun:
             relay.has_response_begun = True
             relay.on_response_begun()
@@ -538,6 +541,7 @@
     def start_response_stream(self, connection: ServerConnection, relay: ServerRelay, response: ResponseReader) -> None:
         """Stream a response to the client that is longer than what is buffered whole."""
         relay.response_stream = stream = Body(self.shares, response.content_length)
+        relay.held_since = 0.0
 
         def resume_reading() -> None:
             if relay.connection is connection:
@@ -551,23 +555,38 @@
         relay_end.written_at = relay.written_at
         relay.on_stream_start(relay_end)
 
+    def _watch_response(self, connection: ServerConnection, relay: ServerRelay, response: ResponseReader) -> None:
+        """Set the timer of a response that has begun, and once more when its body begins."""
+        is_held_now = response.stage is AnswerStage.BODY and not relay.held_since and relay.response_stream is None
+        if is_held_now:
+            relay.held_since = self.loop.clock()
+        if is_held_now or not relay.has_stall_timer:
+            relay.has_stall_timer = True
+            if relay.timer is not None:
+                relay.timer.cancel()
+            self._schedule_response_check(connection, relay)
+
     def _schedule_response_check(self, connection: ServerConnection, relay: ServerRelay) -> None:
         """Set the timer for the next check of a response that has begun."""
-        progress = relay.answer_progress()
-        delay = progress.stall_timeout - progress.quiet_seconds
+        delay = relay.answer_progress().next_check_seconds
         relay.timer = self.loop.call_in(delay, lambda: self._check_response(connection, relay))
 
     def _check_response(self, connection: ServerConnection, relay: ServerRelay) -> None:
-        """Fail a relay whose server gives no more of its response."""
-        if relay.connection is not connection:
+        """Fail a relay whose server gives no more of its response, and stream what was held for too long."""
+        response = connection.response
+        if relay.connection is not connection or response is None:
             return
         if relay.response_stream is not None and relay.response_stream.is_writer_blocked:
             relay.last_progress = self.loop.clock()  # reading is paused by the client's pace, not by the server
-        if relay.answer_progress().has_stalled:
+        progress = relay.answer_progress()
+        if progress.has_stalled:
             self.metrics.add("answers_stalled")
             self._fail(connection, "answer stalled")
             return
-        self._schedule_response_check(connection, relay)
+        if progress.must_pass_on and relay.response_stream is None:
+            self.start_response_stream(connection, relay, response)
+        if relay.connection is connection:
+            self._schedule_response_check(connection, relay)
 
     def _return_to_idle(self, connection: ServerConnection) -> None:
         if connection.relay is not None:
