Pass on a long answer for which memory has no room, instead of cutting it off

What callers would see: where many answers have begun at once and wait in the ingress, the next part of any of them ends it as failed, with no further attempt, though its server gives it soundly.

Cause: an answer that exceeds the account of incomplete answers was ended (ResponseTooLargeError) also where it could be passed on, which frees what it holds and leaves the rest in the sockets.

Change: such an answer is passed on at once if it may be long; one that is known to be short still ends as before.

--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -462,14 +462,15 @@
         if not space:  # backpressure: the client has not read what is buffered
             self.loop.set_interest(connection.sock, 0, lambda events: None)
             return
-        is_local_failure, reason = False, "connection broke"
+        is_local_failure, is_memory_full, reason = False, False, "connection broke"
         try:
             count = len(data := self._receive(connection.sock, space, stream is not None))
             if response is None:  # an idle connection was closed by the server, or has unexpected bytes
                 count = -1
             elif count:
                 response.feed(data)
-                if not (response.is_complete or self._account_buffered(connection, response)):
+                is_memory_full = not response.is_complete and not self._account_buffered(connection, response)
+                if is_memory_full and not (relay is not None and relay.is_written and response.may_be_long):
                     raise ResponseTooLargeError
             else:
                 response.handle_eof()
@@ -501,7 +502,8 @@
         if response.may_be_long and relay.is_written and not relay.has_response_begun:
             relay.has_response_begun = True
             relay.on_response_begun()
-        if response.is_long and relay.response_stream is None and relay.connection is connection and relay.is_written:
+        must_stream = is_memory_full or response.is_long and relay.is_written
+        if must_stream and relay.response_stream is None and relay.connection is connection:
             self.start_response_stream(connection, relay, response)
 
     def _receive(self, sock: socket.socket, space: int, is_streaming: bool) -> bytes:
