Let a server finish the head of its answer, also at the end of the message's time

Change: an answer that has begun, in any stage, is underway until it stalls: neither a cancel nor an attempt's time-out ends it. When its message's time is over a part of a head gets 0.3 s more, within the 0.5 s by which an answer may be late without being lost. A head that stands still for 2 s is asked for elsewhere as before (new test).

--- a/brackenpulley/core/answer_progress.py
+++ b/brackenpulley/core/answer_progress.py
@@ -9,8 +9,9 @@
 | BODY         | the same, and a part of its body                                                                |
 
 Of a long answer only the first bytes are timed, and one that its server is still giving must not be cut off. So an
-answer in HEAD or BODY is neither cancelled nor timed out while it is underway. It is passed on from what has come when
-it is known to be long, when its message's time is over, or when a part of its body has been held for MAX_HOLD_SECONDS.
+answer that is underway is neither cancelled nor ended by the time-out of its attempt. In HEAD or BODY it is passed on
+from what has come when it is known to be long, when its message's time is over, or when a part of its body has been
+held for MAX_HOLD_SECONDS. In PARTIAL_HEAD nothing can be passed on yet, so it gets HEAD_GRACE_SECONDS more.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 STALL_TIMEOUT_SECONDS = 2.0  # without a byte of an answer that has begun
 LONG_STALL_TIMEOUT_SECONDS = 5.0  # the same for one that may be long: servers take seconds to write
 MAX_HOLD_SECONDS = 1.5  # for which the first bytes of a long answer's body may be held; 2 s are a break
+HEAD_GRACE_SECONDS = 0.3  # after a message's time for the rest of a head; an answer 0.5 s late is lost
 
 
 class AnswerStage(Enum):
@@ -68,5 +70,15 @@
 
     @property
     def is_underway(self) -> bool:
+        """Whether the server has begun the answer and is still giving it."""
+        return self.stage is not AnswerStage.NONE and not self.has_stalled
+
+    @property
+    def can_pass_on(self) -> bool:
         """Whether the answer may be a long one that its server is still giving."""
         return self.stage in LONG_STAGES and not self.has_stalled
+
+    @property
+    def grace_seconds(self) -> float:
+        """Seconds for which the answer may go on once its message's time is over, although it is not passed on."""
+        return HEAD_GRACE_SECONDS if self.stage is AnswerStage.PARTIAL_HEAD and not self.has_stalled else 0.0
--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -15,6 +15,7 @@
 from ..metrics import OUTCOME_COUNTERS, Metrics
 from ..policy import interface
 from ..policy.brain import DecisionModule
+from .answer_progress import AnswerProgress
 from .attempt_log import AttemptLog
 from .exchange import Answer, Authoriser, Exchange, PendingCall, RelayResult, South, Verdict
 from .message import Message, check_message
@@ -524,17 +525,20 @@
 
     def _handle_timeout(self, exchange: Exchange) -> None:
         progress = exchange.answer_progress()
-        if progress.is_underway and self._let_go_on(exchange):
+        if progress.is_underway and self._let_go_on(exchange, progress):
             return
         reason = "time over" if self.clock() >= exchange.deadline else "attempt timed out"
         # The sim server cannot have run an attempt that was not completely written to a connection.
         status = "timeout" if exchange.drop() else "connect_failed"
         self._handle_result(exchange, exchange.attempt, RelayResult(status, reason=reason, progress=progress))
 
-    def _let_go_on(self, exchange: Exchange) -> bool:
-        """Lets an answer go on whose attempt has timed out; returns False if it can't."""
-        if self.clock() < exchange.deadline:
-            exchange.timer = self.timers.call_at(exchange.deadline, lambda: self._handle_timeout(exchange))
+    def _let_go_on(self, exchange: Exchange, progress: AnswerProgress) -> bool:
+        """Lets an answer go on whose attempt or message has timed out; returns False if it must not."""
+        now, until = self.clock(), exchange.deadline
+        if now >= until:
+            until += progress.grace_seconds
+        if now < until:
+            exchange.timer = self.timers.call_at(until, lambda: self._handle_timeout(exchange))
             return True
         return exchange.stream_now()
 
--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -157,7 +157,7 @@
         connection = self.connection
         if connection is None or connection.response is None or self.response_stream is not None:
             return False
-        if not self.answer_progress().is_underway:
+        if not self.answer_progress().can_pass_on:
             return False
         self.south.start_response_stream(connection, self, connection.response)
         return True
--- a/tests/test_long_messages_in_time.py
+++ b/tests/test_long_messages_in_time.py
@@ -10,7 +10,7 @@
 import pytest
 
 from brackenpulley.address import Address
-from brackenpulley.core.answer_progress import LONG_STALL_TIMEOUT_SECONDS
+from brackenpulley.core.answer_progress import LONG_STALL_TIMEOUT_SECONDS, STALL_TIMEOUT_SECONDS
 from brackenpulley.net import sockets, south
 from brackenpulley.net.http import MAX_BUFFERED_BODY_BYTES
 from brackenpulley.policy import interface
@@ -243,6 +243,39 @@
         assert harness.count("relays") == 1
 
 
+@pytest.mark.parametrize("form", ["length", "chunked", "close"])
+def test_an_answer_is_not_asked_for_elsewhere_in_the_middle_of_its_head(form: str) -> None:
+    """Guards against the cut of an answer whose head comes in pieces, by a server that is taken for a silent one."""
+    body, clients, servers = noise(LONG_BYTES), list[RawConnection](), list[RawConnection]()
+    with rig(servers=3, settings=settings_for_short_times("free")) as harness:
+        for number in range(1, 7):
+            clients.append(harness.send_request(number, timeout="8000m"))
+            servers.append(harness.accept_relay()[1])
+            servers[-1].read_http()
+            servers[-1].send(HEADS[form][:20])
+        harness.run_once()
+        harness.freeze_clock()
+        for _ in range(int(LATE_BODY_SECONDS / STEP_SECONDS)):
+            harness.step_clock(STEP_SECONDS)
+        for server in servers:
+            server.send(HEADS[form][20:] + encode_part(form, body))
+            end_answer(form, server)
+        assert all(read_answer(form, client) == body for client in clients)
+        assert harness.count("relays") == len(clients)
+
+
+def test_a_head_that_stands_still_is_asked_for_elsewhere() -> None:
+    with rig(servers=2) as harness:
+        client = harness.send_request(1, timeout=f"{CLIENT_TIMEOUT_SECONDS * 1000:.0f}m")
+        harness.accept_relay()[1].send(HEADS["length"][:20])
+        harness.run_once()
+        harness.advance_clock(STALL_TIMEOUT_SECONDS + STEP_SECONDS)
+        _, server = harness.accept_relay()
+        server.read_http()
+        server.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assert client.read_http()[2] == b"ok"
+
+
 def end_answer(form: str, server: RawConnection) -> None:
     """End the body of an answer as its framing has it."""
     if form == "chunked":
