Count a message's time while its long body waits in the sockets for its server

Cause: a message's time began when the ingress had read the last byte of its body; a body too long to be kept is read no faster than its server takes it, so the last byte waits in the sockets, in part in the client's send buffer where it can't be seen. Giving up asked for a server that took nothing at all for the whole time, and slices are taken one in a second at 60 kB/s (the KNOWN-RED case: 2.15 s of 1.5 s).

Change: bodies/backlog keeps since when a client always had bytes waiting and had no more to come than a send buffer holds (4 MB, Linux's default maximum). Its time may run since then: the relay of a body that still waits ends with it (503, no server has run it), and a body that is complete in time has what is left. A server that takes nothing ends it as before. BodyComplete tells the module the time that has passed.

Cost: a client with a small send buffer whose server reads slowly is refused although it was still sending.

--- a/brackenpulley/core/ingress.py
+++ b/brackenpulley/core/ingress.py
@@ -290,14 +290,19 @@
         else:
             self._finish(exchange, Answer("failed", 503))
 
-    def complete_body(self, exchange: Exchange) -> None:
-        """Processes the end of a message's long body. The message's timeout starts now."""
+    def complete_body(self, exchange: Exchange, sent_since: float = 0.0) -> None:
+        """Processes the end of a message's long body. The message's timeout starts now.
+
+        It has started at `sent_since`, if that is not 0: the client may have sent the last byte then.
+        """
         if exchange.is_finished:
             return
-        exchange.deadline = self.clock() + exchange.message.timeout
+        now = self.clock()
+        elapsed = now - sent_since if sent_since else 0.0
+        exchange.deadline = now - elapsed + exchange.message.timeout
         if exchange.has_relay:
             exchange.timer = self.timers.call_at(exchange.deadline, lambda: self._handle_timeout(exchange))
-        self._enqueue(interface.BodyComplete(exchange.message.id))
+        self._enqueue(interface.BodyComplete(exchange.message.id, elapsed))
 
     def expire_body(self, exchange: Exchange) -> None:
         """Ends the relay of a message whose long body its server does not take within the message's time.
--- a/brackenpulley/net/sockets.py
+++ b/brackenpulley/net/sockets.py
@@ -4,10 +4,12 @@
 
 import contextlib
 import errno
+import fcntl
 import os
 import socket
 import struct
 import sys
+import termios
 from collections import deque
 from itertools import islice
 
@@ -102,6 +104,14 @@
     return int.from_bytes(info[TCP_INFO_BYTES_ACKED_OFFSET:TCP_INFO_BYTES_ACKED_END], sys.byteorder)
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes have arrived and were not read; 0 where the system does not tell."""
+    try:
+        return struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))[0]  # type: ignore[no-any-return]
+    except OSError:
+        return 0
+
+
 def write(sock: socket.socket, buffers: deque[bytes | memoryview]) -> int:
     """Write as much as the socket accepts now and return the number of bytes; the rest stays in `buffers`.
 
--- a/brackenpulley/policy/brain.py
+++ b/brackenpulley/policy/brain.py
@@ -208,7 +208,7 @@
     def complete_body(self, now: float, event: interface.BodyComplete) -> None:
         """Starts the deadline of a message whose body is complete and counts its relay as in flight."""
         if (pending := self.messages.get(event.id)) and pending.body_pending:
-            pending.deadline, pending.sent_at = now + pending.message.time_left, now
+            pending.deadline, pending.sent_at = now - event.elapsed + pending.message.time_left, now
             if pending.is_in_flight and pending.server:
                 self.servers.record_sent(
                     pending.server,
--- a/brackenpulley/policy/interface.py
+++ b/brackenpulley/policy/interface.py
@@ -195,6 +195,7 @@
     """The last byte of a pending body was received."""
 
     id: str
+    elapsed: float = 0.0  # of the client's time, which may have begun before
 
 
 @dataclass(slots=True)
