--- a/brackenpulley/net/north.py
+++ b/brackenpulley/net/north.py
@@ -237,8 +237,10 @@
             self.close(client)
             return
         reader = client.reader
-        client.pace.record_input(self.loop.clock())
-        sent_since = client.pace.sent_since  # of the body that this read may complete
+        sent_since = 0.0
+        if open_body is not None:
+            client.pace.record_input(self.loop.clock())
+            sent_since = client.pace.sent_since
         # The read that brings the end of a discarded body may bring the next messages too: those are not discarded.
         if client.is_unparsed or client.discard_until and reader.open_body is client.request_body:
             client.discarded_bytes += count
