--- a/brackenpulley/net/south.py
+++ b/brackenpulley/net/south.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from collections import deque
 from collections.abc import Callable, Sequence
 
 from ..address import Address
@@ -16,162 +15,20 @@
 from . import sockets
 from .answers import MalformedResponseError, ResponseReader, ResponseTooLargeError, to_relay_end
 from .http import DEFAULT_MAX_BODY_BYTES, Payload, append_body_slice
+from .idle_reuse import IdleReusePolicy
 from .inventory import Inventory
-from .loop import READ, WRITE, Loop, Timer
+from .loop import READ, WRITE, Loop
 from .pool import BUFFER_BYTES, Pool
+from .server_relay import ServerConnection, ServerKey, ServerRelay
 
 # Share of the server's keep-alive timeout after which an idle connection is closed here: a request must never cross
 # the server's own close.
 IDLE_RETIRE_FRACTION = 0.6
 SWEEP_INTERVAL_SECONDS = 1.0  # between two removals of expired idle connections
-FRESH_IDLE_SECONDS = 0.1  # a connection idle for less than this is always reused
-MAX_FAILURE_RATE = 0.1  # of reused connections, from which on those idle for longer are not reused
-TRIAL_INTERVAL = 16  # every n-th refused reuse is allowed all the same, see IdleReusePolicy
-FAILURE_RATE_WEIGHT = 0.05  # of the newest sample in the moving average of failures
 REUSE_DELAY_SECONDS = 0.01  # idle time before reuse: a duplicate of the last response may still come
 SEND_STALL_TIMEOUT_SECONDS = 2.0  # without progress in sending a long body
 SEND_CHECK_INTERVAL_SECONDS = 0.25  # between two looks at what a server has acknowledged of a long body
 
-ServerKey = tuple[str, Address]  # id and address: a new sim server may reuse the address of a removed one
-
-
-class ServerConnection:
-    """A connection to one sim server, which carries one relay at a time.
-
-    Owned by Southside and closed in `Southside.close` alone."""
-
-    __slots__ = ("sock", "key", "relay", "response", "accounted_bytes", "idle_since", "is_connected", "idle_seconds")
-
-    def __init__(self, sock: socket.socket, key: ServerKey, now: float) -> None:
-        self.sock, self.key, self.idle_since = sock, key, now
-        self.relay: ServerRelay | None = None
-        self.response: ResponseReader | None = None
-        self.accounted_bytes = 0  # buffered bytes of the response that are entered in the memory account
-        self.is_connected = False
-        self.idle_seconds = 0.0  # how long it had been idle when its current relay took it
-
-
-class IdleReusePolicy:
-    """Decides whether connections that were idle for long may be reused: some sim servers close them unnoticed.
-
-    A request on such a connection is reset and may have been processed, so a new connection is cheaper as soon as the
-    share MAX_FAILURE_RATE of those idle for FRESH_IDLE_SECONDS or more break before a byte of the response. One in
-    TRIAL_INTERVAL is reused all the same, to detect that the failures are over."""
-
-    def __init__(self) -> None:
-        self.failure_rate = 0.0
-        self._skipped_count = 0
-
-    def allows_reuse(self, idle_seconds: float) -> bool:
-        """Tell whether a connection that was idle for so long may be reused."""
-        if idle_seconds < FRESH_IDLE_SECONDS or self.failure_rate < MAX_FAILURE_RATE:
-            return True
-        self._skipped_count = (self._skipped_count + 1) % TRIAL_INTERVAL
-        return not self._skipped_count
-
-    def record(self, idle_seconds: float, is_broken: bool) -> None:
-        """Add the result of a reuse after `idle_seconds` to the failure rate."""
-        if idle_seconds >= FRESH_IDLE_SECONDS:
-            self.failure_rate += FAILURE_RATE_WEIGHT * (is_broken - self.failure_rate)
-
-
-class ServerRelay:
-    """One relay of a message to a sim server. `drop` cancels it by closing its connection.
-
-    Times are those of the loop's clock, in seconds."""
-
-    __slots__ = (
-        "south",
-        "message",
-        "server",
-        "deadline",
-        "on_end",
-        "on_stream_start",
-        "on_response_begun",
-        "has_response_begun",
-        "held_since",
-        "connection",
-        "send_queue",
-        "request_stream",
-        "is_chunked",
-        "is_body_queued",
-        "has_begun",
-        "is_written",
-        "timer",
-        "has_stall_timer",
-        "last_progress",
-        "acknowledged_bytes",
-        "response_stream",
-        "written_at",
-    )
-
-    def __init__(
-        self,
-        south: Southside,
-        message: Message,
-        server: str,
-        deadline: float,
-        on_end: Callable[[RelayResult], None],
-        on_stream_start: Callable[[RelayResult], None],
-        on_response_begun: Callable[[], None],
-    ) -> None:
-        self.south, self.message, self.server, self.deadline, self.on_end = south, message, server, deadline, on_end
-        self.on_stream_start, self.on_response_begun = on_stream_start, on_response_begun
-        self.held_since = 0.0  # when the first byte came of a body that may be long and is buffered; 0 = none is
-        self.has_response_begun = False  # the head of a response that is long or may be has come, and was reported
-        self.connection: ServerConnection | None = None
-        self.send_queue: deque[bytes | memoryview] = deque()  # bytes that the socket has not accepted yet
-        self.request_stream: Body | None = None  # body of a message too long to be buffered
-        self.is_chunked = False  # framing of the request stream
-        self.is_body_queued = True  # the whole message is in the send queue or sent
-        self.has_begun = False  # the first byte is sent
-        self.is_written = False  # the last byte is sent
-        self.has_stall_timer = False  # a response has begun, and its progress is checked
-        self.last_progress = 0.0  # when bytes were last sent or received, or seen to be acknowledged
-        self.acknowledged_bytes = 0  # on the connection, as last seen while sending a request stream
-        self.written_at = 0.0  # when the last byte of a request stream was sent; 0 = no request stream
-        self.response_stream: Body | None = None  # body of a response too long to be buffered
-        self.timer: Timer | None = None
-
-    def drop(self) -> bool:
-        """Cancel the relay without reporting an end; True if its last byte was sent, so it may have run."""
-        if self.connection is not None:
-            connection, self.connection = self.connection, None
-            connection.relay = None
-            self.south.close(connection)
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.response_stream is not None:
-            self.response_stream.drop()
-        return self.is_written
-
-    def recall(self) -> bool:
-        """Cancel the relay if none of its bytes is sent yet; True if it was cancelled."""
-        if self.has_begun or self.connection is None:
-            return False
-        self.drop()
-        return True
-
-    def stream_now(self) -> bool:
-        """Stream a response that has begun and may be a long one, if its server still sends it; True if it does."""
-        connection = self.connection
-        if connection is None or connection.response is None or self.response_stream is not None:
-            return False
-        if not self.answer_progress().can_pass_on:
-            return False
-        self.south.start_response_stream(connection, self, connection.response)
-        return True
-
-    def answer_progress(self) -> AnswerProgress:
-        """Return how far the response has come."""
-        connection = self.connection
-        if connection is None or connection.response is None or not self.is_written:
-            return AnswerProgress()
-        now, response = self.south.loop.clock(), connection.response
-        quiet_seconds = now - self.last_progress if self.last_progress else 0.0
-        held_seconds = now - self.held_since if self.held_since else -1.0
-        return AnswerProgress(response.stage, response.body_size, quiet_seconds, held_seconds)
-
 
 class Southside:
     """Runs relays to sim servers, and owns the connections to them.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,8 +25,8 @@
 from brackenpulley.net.answers import MalformedResponseError, ResponseReader, to_relay_end
 from brackenpulley.net.counter import ReplyParser
 from brackenpulley.net.counter import encode_add as encode_call
+from brackenpulley.net.idle_reuse import IdleReusePolicy
 from brackenpulley.net.requests import RequestError, RequestReader
-from brackenpulley.net.south import IdleReusePolicy
 from brackenpulley.policy.interface import CounterResult, LateCounterResult
 
 from .rig import Peer, Rig, rig
