Do not close a control call whose answer is being read slowly or is not known yet

What callers would see: a call to the control API whose answer takes more than 30 s to be read, or whose reply comes after 30 s (a call that waits for an agreement), lost its connection.

Change: sent output counts as activity, and a connection whose reply is pending is not idle; its caller's close is still seen.

Before: test_an_answer_that_its_caller_reads_slowly_is_not_cut_off failed (closed while 4 MB were read in steps of 15 s); after: it passes, with test_control and test_fleet (96 passed).

--- a/brackenpulley/control/server.py
+++ b/brackenpulley/control/server.py
@@ -20,7 +20,7 @@
 from .api import NO_CONTENT, ApiError, PendingReply, Reply, Routes, error_reply
 
 MAX_CONNECTIONS = 16  # at a time; the oldest is closed to make room for a new one
-IDLE_TIMEOUT_SECONDS = 30.0  # without input from the client
+IDLE_TIMEOUT_SECONDS = 30.0  # without input from the client, and without progress of its answer
 LINGER_TIMEOUT_SECONDS = 2.0  # for the client to close its side after the last response
 SWEEP_INTERVAL_SECONDS = 1.0
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
@@ -32,7 +32,7 @@
     __slots__ = ("sock", "reader", "output", "keep_alive", "active_at", "is_closing", "pending_reply")
 
     def __init__(self, sock: socket.socket, now: float) -> None:
-        self.sock, self.reader, self.active_at = sock, RequestReader(), now  # last input or late reply
+        self.sock, self.reader, self.active_at = sock, RequestReader(), now  # last input, late reply or sent output
         self.output = b""
         self.keep_alive = True
         self.pending_reply: PendingReply | None = None  # not known yet; later requests wait for it
@@ -171,6 +171,7 @@
         try:
             while connection.output:
                 connection.output = connection.output[connection.sock.send(connection.output) :]
+                connection.active_at = self.loop.clock()
         except BlockingIOError:
             pass
         except OSError:
@@ -204,12 +205,10 @@
     def _sweep(self) -> None:
         """Closes idle connections, and closing ones whose client has not closed its side."""
         now = self.loop.clock()
-        for connection in [
-            connection
-            for connection in self.connections
-            if now - connection.active_at > (LINGER_TIMEOUT_SECONDS if connection.is_closing else IDLE_TIMEOUT_SECONDS)
-        ]:
-            self.close(connection)
+        for connection in list(self.connections):
+            timeout = LINGER_TIMEOUT_SECONDS if connection.is_closing else IDLE_TIMEOUT_SECONDS
+            if connection.pending_reply is None and now - connection.active_at > timeout:
+                self.close(connection)
         if self.listener is not None:
             self.loop.call_in(SWEEP_INTERVAL_SECONDS, self._sweep)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,10 +12,12 @@
 import pytest
 
 from brackenpulley.address import ConfigError
+from brackenpulley.control.api import PendingReply
+from brackenpulley.control.server import IDLE_TIMEOUT_SECONDS
 from brackenpulley.ledger.store import LedgerError
 from brackenpulley.operator import decode as decode_operator_file
 
-from .rig import Rig, rig
+from .rig import RawConnection, Rig, rig
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-True-Cost: 3\r\n\r\nbody"
 FIRM = f"{1:016x}"
@@ -156,6 +158,28 @@
         running.close()
 
 
+def test_an_answer_that_its_caller_reads_slowly_is_not_cut_off(tmp_path: Path) -> None:
+    """Guards against a connection that counts as idle while its answer is being read, or is not known yet."""
+    late, size = PendingReply(), 4_000_000
+    with rig(operator=operator_options(tmp_path)) as r:
+        r.daemon.control.routes.add("GET", "/v1/long", lambda request: "x" * size)
+        r.daemon.control.routes.add("GET", "/v1/late", lambda request: late)
+        sock = socket.socket(socket.AF_UNIX)
+        sock.connect(f"{tmp_path}/c")
+        caller = RawConnection(r, sock).send(b"GET /v1/long HTTP/1.1\r\nHost: h\r\n\r\n")
+        while len(caller.received) < size:
+            r.advance_clock(0.5 * IDLE_TIMEOUT_SECONDS)
+            assert caller.receive()
+        caller.read_http()
+        caller.send(b"GET /v1/late HTTP/1.1\r\nHost: h\r\n\r\n")
+        r.run_once()
+        r.advance_clock(2 * IDLE_TIMEOUT_SECONDS)
+        late.answer("late")
+        assert caller.read_http()[2] == b'"late"\n'
+        r.advance_clock(IDLE_TIMEOUT_SECONDS + 2.0)
+        assert caller.wait_closed()
+
+
 def test_a_change_is_compared_by_revision_saved_and_restored(tmp_path: Path) -> None:
     with rig(operator=operator_options(tmp_path)) as r:
         assert call(r, tmp_path, "POST", "/v1/changes", plan_change(r, revision=2))[0] == 409
