--- a/benchmarks/slow_peers/plans.py
+++ b/benchmarks/slow_peers/plans.py
@@ -86,9 +86,9 @@
         plan.pieces = [Piece(rng.uniform(0.01, 0.4), 0), Piece(0.0, plan.size)]
         return plan
     if fault is Fault.LATE_BODY or fault is Fault.RESET:
-        pauses, sizes = (0.3, 1.8), (10, 50_000)
+        pauses, sizes = (0.3, 3.0), (10, 50_000)
     elif fault is Fault.LUMPS:
-        pauses, sizes = (0.2, 1.8), (20_000, 90_000)
+        pauses, sizes = (0.2, 4.0), (20_000, 90_000)
     else:
         pauses, sizes = (0.02, 0.1), (400, 6_000)
     left = plan.size
