--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,6 +4,7 @@
 
 from brackenpulley.policy.brain import DecisionModule
 from brackenpulley.policy.interface import (
+    AnswerBegun,
     Cancel,
     ClientGone,
     Fail,
@@ -256,6 +257,32 @@
     assert not select(Send, actions) and not select(Refuse, actions) and not select(Fail, actions)
 
 
+def test_a_server_that_has_begun_a_long_answer_is_not_silent_and_a_client_that_leaves_still_ends_it() -> None:
+    """Guards against a sound answer that is cancelled because only whole answers count as signs of life."""
+    driver = Driver(servers=2)
+    sends = [select(Send, driver.send_message(time_left=60.0, firm=n))[0] for n in range(2)]
+    for send in sends:
+        driver.handle(AnswerBegun(send.id, send.server, 0))
+    for _ in range(60):
+        driver.now += 0.2
+        driver.handle(TimerFired(driver.decision_module.timer_token))
+    assert not select(Cancel, driver.actions) and not driver.decision_module.servers.ejected
+    assert select(Cancel, driver.handle(ClientGone(sends[0].id)))
+
+
+def test_an_attempt_after_one_whose_answer_had_begun_may_be_silent() -> None:
+    driver = Driver(servers=2)
+    (first,) = select(Send, driver.send_message(time_left=60.0))
+    driver.handle(AnswerBegun(first.id, first.server, 0))
+    (again,) = select(Send, end_relay(driver, first, "reset"))
+    driver.handle(AnswerBegun(first.id, first.server, 0))  # late: it does not speak for the next attempt
+    for _ in range(120):
+        driver.now += 0.2
+        driver.handle(TimerFired(driver.decision_module.timer_token))
+    assert again.server in driver.decision_module.servers.ejected
+    assert Cancel(again.id, 1) in select(Cancel, driver.actions)
+
+
 def test_one_slow_message_does_not_make_a_server_silent() -> None:
     """With hundreds of ingresses each has one relay at a server: four mean latencies ejected healthy servers."""
     driver = Driver(servers=4, gateways=300)
